--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! keeps no clock, opens no socket and shares nothing; the caller does both and feeds the outcomes back.
 //!
 //! ```
-//! use cairnyoke::*;
+//! use cairnroad::*;
 //!
 //! let settings = Settings {
 //!     classes: vec![Class {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cairnyoke::*;
+use cairnroad::*;
 use common::*;
 
 fn safe() -> Settings {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cairnyoke::*;
+use cairnroad::*;
 use common::{class, listed, settings};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/wirehost/src/frame.rs
+++ b/wirehost/src/frame.rs
@@ -1,6 +1,6 @@
 //! The binary frames: batches in, replies out.
 
-use cairnyoke::{Action, ClassId, Event, ListNews, Listed, Outcome, RequestId, ServerId, ServerState, Time};
+use cairnroad::{Action, ClassId, Event, ListNews, Listed, Outcome, RequestId, ServerId, ServerState, Time};
 use std::io::{ErrorKind, Read};
 
 /// Flag bits of an incoming request.
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -1,10 +1,9 @@
-//! Hosts cairnyoke aggregators on the simulator's wire: frames in on standard input, frames out on
+//! Hosts cairnroad aggregators on the simulator's wire: frames in on standard input, frames out on
 //! standard output. Translation only; every decision is the library's.
 
 mod frame;
-mod settings;
 
-use cairnyoke::{Action, Aggregator, Event, Time};
+use cairnroad::{Action, Aggregator, Event, Time};
 use frame::{Batch, Record, Reply};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter, Read, Write};
@@ -14,7 +13,7 @@
 #[derive(Default)]
 struct Host {
     instances: BTreeMap<u16, Aggregator>,
-    pages: BTreeMap<u8, Vec<cairnyoke::Listed>>,
+    pages: BTreeMap<u8, Vec<cairnroad::Listed>>,
 }
 
 impl Host {
@@ -25,8 +24,8 @@
             match record {
                 Record::Provision { instance, seed, setup } => {
                     let settings =
-                        settings::parse(&setup).map_err(|e| format!("record {at}, provision: {e}"))?;
-                    self.instances.insert(instance, Aggregator::new(settings, seed));
+                        cairnroad_settings::parse(&setup).map_err(|e| format!("record {at}, provision: {e}"))?;
+                    self.instances.insert(instance, Aggregator::new(settings.policy, seed));
                     inbox.insert(instance, Vec::new());
                 }
                 Record::Retire { instance } => {
@@ -85,7 +84,7 @@
     match run(BufReader::new(io::stdin().lock()), BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("cairnyoke-wirehost: {text}");
+            eprintln!("cairnroad-wirehost: {text}");
             ExitCode::FAILURE
         }
     }
