--- /dev/null
+++ b/node/src/backends/mod.rs
@@ -0,0 +1,15 @@
+//! The backends: an attempt as one of the servers' wires has it, and the wire's answers as outcomes.
+
+pub mod frames;
+pub mod opensearch;
+
+use crate::config::BackendKind;
+use crate::pool::LinkEnd;
+
+/// Starts a connection's task.
+pub fn spawn(kind: BackendKind, end: LinkEnd) {
+    match kind {
+        BackendKind::Frames => tokio::task::spawn_local(frames::run(end)),
+        BackendKind::OpenSearch => tokio::task::spawn_local(opensearch::run(end)),
+    };
+}
--- /dev/null
+++ b/node/src/config.rs
@@ -0,0 +1,202 @@
+//! The one place where configuration is read, checked and given defaults: the environment, the JSON file that
+//! `NODE_CONFIG` names, and this project's own file under `deploy/`. Errors name the faulty key.
+
+use crate::discovery;
+use cairnroad_settings::Deployment;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// Where the project's own file is looked for, from the folder that the program starts in.
+const OWN_FILE: &str = "deploy/cairnroad.toml";
+/// The scored days' limits, which stand where no others are told.
+const DEFAULT_MEMORY_MB: u64 = 192;
+const DEFAULT_SOCKETS: usize = 1024;
+
+/// All that the program goes by.
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub limits: Limits,
+    /// The list as an earlier life had it.
+    pub known: discovery::News,
+    pub deployment: Deployment,
+    /// Where the second front listens, if it is on.
+    pub opensearch: Option<SocketAddr>,
+    pub backend: BackendKind,
+}
+
+/// Shares of the descriptors and of memory, worked out once.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Client connections that are served; more are told to come back.
+    pub clients: usize,
+    /// Client connections that are accepted at all.
+    pub accepted: usize,
+    /// Connections to servers.
+    pub links: usize,
+}
+
+impl Limits {
+    /// Half of the descriptors for clients, a quarter for servers; the rest is for refusals, discovery and
+    /// the runtime. Memory caps both: a client may hold 64 KiB of body twice over.
+    fn new(memory_mb: u64, sockets: usize) -> Limits {
+        let by_memory = (memory_mb as usize).saturating_mul(1024) / 160 / 2;
+        let clients = (sockets / 2).min(by_memory).max(8);
+        Limits { clients, accepted: clients + sockets / 8, links: (sockets / 4).max(8) }
+    }
+}
+
+/// What servers speak.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum BackendKind {
+    #[default]
+    Frames,
+    OpenSearch,
+}
+
+#[derive(Deserialize)]
+struct Json {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    limits: Option<JsonLimits>,
+    known: Option<discovery::Page>,
+    settings: Box<serde_json::value::RawValue>,
+}
+
+#[derive(Deserialize)]
+struct JsonLimits {
+    memory_mb: Option<u64>,
+    sockets: Option<usize>,
+}
+
+/// The project's own file. All of it is optional.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Own {
+    #[serde(default)]
+    opensearch: OwnFront,
+    #[serde(default)]
+    backend: OwnBackend,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OwnFront {
+    #[serde(default)]
+    enabled: bool,
+    listen: Option<String>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OwnBackend {
+    #[serde(default)]
+    kind: BackendKind,
+}
+
+/// Reads all of it. `var` looks a variable up.
+pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let path = var("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
+    let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+    let own_path = var("CAIRNROAD_FILE").unwrap_or_else(|| OWN_FILE.into());
+    let own = match std::fs::read_to_string(&own_path) {
+        Ok(text) => text,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound && var("CAIRNROAD_FILE").is_none() => {
+            String::new()
+        }
+        Err(e) => return Err(format!("{own_path}: {e}")),
+    };
+    read(&text, &own, var).map_err(|e| format!("configuration: {e}"))
+}
+
+fn read(json: &[u8], own: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let json: Json = serde_json::from_slice(json).map_err(|e| e.to_string())?;
+    let own: Own = toml::from_str(own).map_err(|e| e.to_string())?;
+    // The environment and the JSON say the same; either will do.
+    let told = |key: &str, variable: &str, value: Option<String>| {
+        value.or_else(|| var(variable)).ok_or(format!("'{key}' ({variable}) is missing"))
+    };
+    let address = |key: &str, text: String| {
+        text.parse::<SocketAddr>().map_err(|_| format!("'{key}': '{text}' is not an address and a port"))
+    };
+    let mut deployment = cairnroad_settings::parse(json.settings.get().as_bytes())?;
+    if deployment.class_names.iter().any(String::is_empty) {
+        return Err("settings: classes[].name is missing".into());
+    }
+    // Every refusal says when to come back, whether or not the simulator's clients are told.
+    let longest = deployment.longest_advice;
+    deployment.policy.retry_after.get_or_insert(longest);
+    let seed = json.seed.unwrap_or_else(|| "0".into());
+    let limits = json.limits.unwrap_or(JsonLimits { memory_mb: None, sockets: None });
+    let opensearch = match (own.opensearch.enabled, own.opensearch.listen) {
+        (false, _) => None,
+        (true, Some(listen)) => Some(address("opensearch.listen", listen)?),
+        (true, None) => {
+            return Err("'opensearch.listen' is missing though 'opensearch.enabled' is true".into())
+        }
+    };
+    Ok(Config {
+        name: told("name", "NODE_NAME", json.name).unwrap_or_else(|_| "cairnroad".into()),
+        listen: address("listen", told("listen", "NODE_LISTEN", json.listen)?)?,
+        discovery: address("discovery", told("discovery", "NODE_DISCOVERY", json.discovery)?)?,
+        seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("'seed': '{seed}' is not hexadecimal"))?,
+        limits: Limits::new(
+            limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB),
+            limits.sockets.unwrap_or(DEFAULT_SOCKETS),
+        ),
+        known: match json.known {
+            Some(page) => page.news().map_err(|e| format!("'known': {e}"))?,
+            None => discovery::News::default(),
+        },
+        deployment,
+        opensearch,
+        backend: own.backend.kind,
+    })
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub const SETTINGS: &str = r#"{"classes":[
+        {"name":"stock-search","aimS":1.0,"deadlineS":2.0,"effect":"idempotent","value":3.0,"lateShare":0.3},
+        {"name":"pick-confirm","aimS":1.0,"deadlineS":2.5,"effect":"at_most_once","value":1.0,"lateShare":0.3}],
+        "groupSize":1,"registryMode":"pushed","tickS":0.005,"report":{"how":"piggyback","names":["queue","latency_ms"]},
+        "extra":{"positions":2,"span":1,"shards":8,"partsACall":8,"needByClass":[1.0,1.0],"minShare":[0.8,1.0],
+        "partialEarns":[0.9,0.9],"fetchParts":[0,0]},"caps":{"attemptsCap":3,"cancel":true,"secondCopies":true,
+        "probes":true,"retryAfter":false,"maxRetryAfterS":2.0,"openCap":60,"dialTimeoutS":0.25,"keepaliveS":15.0,
+        "streamsPerConn":32},"safety":{"coldFrom":0.23,"warmUpS":16.0,"stopSendingWithinS":0.25,"fallMultiple":2.5,
+        "fallS":1.0}}"#;
+
+    fn json(settings: &str) -> String {
+        format!(
+            r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"ff","settings":{settings}}}"#
+        )
+    }
+
+    #[test]
+    fn defaults_stand_where_nothing_is_told() {
+        let config = read(json(SETTINGS).as_bytes(), "", |_| None).unwrap();
+        assert_eq!((config.seed, config.opensearch, config.backend), (255, None, BackendKind::Frames));
+        assert!(config.limits.accepted + config.limits.links + 64 <= DEFAULT_SOCKETS);
+        assert_eq!(config.deployment.policy.retry_after, Some(2.0), "refusals always say when to return");
+    }
+
+    #[test]
+    fn what_is_wrong_is_named() {
+        let fault = |json: String, own: &str| read(json.as_bytes(), own, |_| None).unwrap_err();
+        assert!(fault(json(SETTINGS).replace("127.0.0.1:0", "nowhere"), "").contains("'listen'"));
+        assert!(fault(json(SETTINGS).replace("\"ff\"", "\"xyz\""), "").contains("'seed'"));
+        assert!(fault(json(SETTINGS).replace("\"discovery\"", "\"d\""), "").contains("NODE_DISCOVERY"));
+        assert!(fault(json(&SETTINGS.replace("tickS", "tick")), "").contains("tickS"));
+        assert!(fault(json(SETTINGS), "[opensearch]\nenabled = true").contains("opensearch.listen"));
+        assert!(fault(json(SETTINGS), "[opensearch]\nport = 3").contains("port"));
+        assert!(fault(json(SETTINGS), "[backend]\nkind = \"soap\"").contains("kind"));
+    }
+}
--- /dev/null
+++ b/node/src/discovery.rs
@@ -0,0 +1,214 @@
+//! The list of servers: the agent's wire form, and the watch that keeps it fresh.
+
+use crate::http;
+use crate::log;
+use crate::stages::Message;
+use cairnroad::{ListNews, Listed, ServerId, ServerState, Time};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// How long one watch call may wait. Short, so that a watch whose answer was lost is soon renewed.
+const HOLD_MS: u64 = 5_000;
+/// How long after that the agent is taken to be silent.
+const SILENCE: Duration = Duration::from_millis(HOLD_MS + 1_000);
+/// How long the first list may take.
+const FIRST: Duration = Duration::from_millis(1_000);
+/// Pause before a new connection after a fault. Well under the 200 ms within which a watch goes on.
+const PAUSE: Duration = Duration::from_millis(50);
+/// The largest list that is read.
+const MOST_LIST: usize = 1024 * 1024;
+
+/// One server's line.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Member {
+    id: String,
+    host_port: String,
+    #[serde(default)]
+    cell: u32,
+    phase: String,
+    #[serde(default = "one")]
+    size: f64,
+    #[serde(default)]
+    up_since_ms: i64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// An answer of the agent.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Page {
+    #[serde(default)]
+    revision: u64,
+    complete: bool,
+    members: Vec<Member>,
+}
+
+/// What an answer says.
+#[derive(Clone, Debug, Default)]
+pub struct News {
+    pub revision: u64,
+    pub complete: bool,
+    pub rows: Vec<Row>,
+}
+
+/// One server's line, understood.
+#[derive(Clone, Debug)]
+pub struct Row {
+    pub id: String,
+    pub address: SocketAddr,
+    pub cell: u32,
+    pub state: ServerState,
+    pub size: f64,
+    pub ready_at: Option<Time>,
+}
+
+impl Page {
+    pub fn news(self) -> Result<News, String> {
+        let rows = self.members.into_iter().map(|member| {
+            let state = match member.phase.as_str() {
+                "active" => ServerState::Ready,
+                "leaving" => ServerState::Draining,
+                "left" => ServerState::Gone,
+                other => return Err(format!("members: phase '{other}' of {} is unknown", member.id)),
+            };
+            let address = member.host_port.parse().map_err(|_| {
+                format!("members: host_port '{}' of {} is not an address", member.host_port, member.id)
+            })?;
+            let ready_at = (member.up_since_ms > 0).then(|| Time(member.up_since_ms.saturating_mul(1000)));
+            Ok(Row { id: member.id, address, cell: member.cell, state, size: member.size, ready_at })
+        });
+        let rows = rows.collect::<Result<_, _>>()?;
+        Ok(News { revision: self.revision, complete: self.complete, rows })
+    }
+}
+
+/// The numbers that the decisions know servers by, given out in the order in which ids are first heard of.
+#[derive(Default)]
+pub struct Directory {
+    numbers: BTreeMap<String, ServerId>,
+}
+
+impl Directory {
+    /// The rows with their servers' numbers.
+    pub fn number(&mut self, rows: &[Row]) -> Vec<(ServerId, Row)> {
+        let mut number = |row: &Row| {
+            let next = ServerId(self.numbers.len() as u32);
+            *self.numbers.entry(row.id.clone()).or_insert(next)
+        };
+        rows.iter().map(|row| (number(row), row.clone())).collect()
+    }
+}
+
+/// The news in the decisions' words.
+pub fn list_news(rows: &[(ServerId, Row)], complete: bool, cached: bool) -> ListNews {
+    let listed = |(server, row): &(ServerId, Row)| Listed {
+        server: *server,
+        cell: row.cell,
+        state: row.state,
+        size: row.size,
+        ready_at: row.ready_at,
+    };
+    let rows = rows.iter().map(listed).collect();
+    match (cached, complete) {
+        (true, _) => ListNews::Cached(rows),
+        (_, true) => ListNews::Full(rows),
+        _ => ListNews::Delta(rows),
+    }
+}
+
+/// Watches the agent for good and tells the core what it says.
+pub async fn watch(agent: SocketAddr, core: mpsc::Sender<Message>) {
+    let mut revision = None;
+    let mut faults = 0u32;
+    loop {
+        if let Err(text) = follow(agent, &core, &mut revision, &mut faults).await {
+            faults += 1;
+            log!("discovery: {text}");
+        }
+        if core.is_closed() {
+            return;
+        }
+        // A first fault is tried again at once: the watch must go on within 200 ms.
+        tokio::time::sleep(PAUSE * faults.min(10)).await;
+    }
+}
+
+/// One connection's life: call after call, each started as soon as the last answer is read.
+async fn follow(
+    agent: SocketAddr,
+    core: &mpsc::Sender<Message>,
+    revision: &mut Option<u64>,
+    faults: &mut u32,
+) -> Result<(), String> {
+    let connect = tokio::time::timeout(FIRST, TcpStream::connect(agent));
+    let mut stream = connect.await.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
+    let _ = stream.set_nodelay(true);
+    let mut buffer = Vec::new();
+    loop {
+        let (target, patience) = match revision {
+            None => ("/catalog/members".to_string(), FIRST),
+            Some(from) => (format!("/catalog/members?from={from}&hold_ms={HOLD_MS}"), SILENCE),
+        };
+        let call = format!("GET {target} HTTP/1.1\r\nHost: {agent}\r\n\r\n");
+        let answer = tokio::time::timeout(patience, exchange(&mut stream, &call, &mut buffer));
+        let answer = answer.await.map_err(|_| "the agent is silent")??;
+        if answer.status != 200 {
+            // A watch from a version that the agent no longer knows starts over with the whole list.
+            *revision = None;
+            return Err(format!("the agent answered {}", answer.status));
+        }
+        let page: Page = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
+        let news = page.news()?;
+        *revision = Some(news.revision);
+        *faults = 0;
+        if core.send(Message::News(news)).await.is_err() || answer.close {
+            return Ok(());
+        }
+    }
+}
+
+async fn exchange(
+    stream: &mut TcpStream,
+    call: &str,
+    buffer: &mut Vec<u8>,
+) -> Result<http::Response, String> {
+    stream.write_all(call.as_bytes()).await.map_err(|e| e.to_string())?;
+    loop {
+        let read = stream.read_buf(buffer).await.map_err(|e| e.to_string())?;
+        match http::response(buffer, read == 0, MOST_LIST).map_err(|bad| bad.text())? {
+            Some((response, used)) => {
+                buffer.drain(..used);
+                return Ok(response);
+            }
+            None if read == 0 => return Err("the agent closed the connection".into()),
+            None => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_list_is_understood_and_numbered_by_first_sight() {
+        let text = r#"{"revision":43,"complete":false,"members":[{"id":"s-b","host_port":"10.1.0.18:9000",
+            "locality":"a","flavor":"m2","cell":3,"phase":"leaving","size":1.0,"up_since_ms":1500}]}"#;
+        let news = serde_json::from_str::<Page>(text).unwrap().news().unwrap();
+        assert_eq!((news.revision, news.complete, news.rows[0].state), (43, false, ServerState::Draining));
+        assert_eq!(news.rows[0].ready_at, Some(Time(1_500_000)));
+        let mut directory = Directory::default();
+        let rows = directory.number(&news.rows);
+        assert_eq!((rows[0].0, directory.number(&news.rows)[0].0), (ServerId(0), ServerId(0)));
+        assert!(matches!(list_news(&rows, false, false), ListNews::Delta(_)));
+        let odd = text.replace("leaving", "asleep");
+        assert!(serde_json::from_str::<Page>(&odd).unwrap().news().unwrap_err().contains("asleep"));
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,1 +1,96 @@
-fn main(){}
+//! The cairnroad coordinator: takes queries from clients on two fronts, has the decision module choose, and
+//! sends their parts to servers over one of two backends. See `ARCHITECTURE.md`.
+
+mod backends;
+mod config;
+mod discovery;
+mod fronts;
+mod http;
+mod log;
+mod pool;
+mod stages;
+mod wheel;
+
+use fronts::{Front, Kind};
+use stages::{Clock, Core, Phase};
+use std::cell::Cell;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, watch};
+
+/// Messages from connections and discovery that may wait for the core's next tick.
+const MESSAGES: usize = 4096;
+/// After the order to stop: when idle connections are closed, how long none may have come before the end, and
+/// the earliest end. New connections come for up to 0.4 s, and clients use the ones they have.
+const CLOSE_IDLE: Duration = Duration::from_millis(500);
+const QUIET: f64 = 0.4;
+const EARLIEST_END: Duration = Duration::from_millis(400);
+
+fn main() -> ExitCode {
+    let run = || -> Result<(), String> {
+        let config = config::load(|name| std::env::var(name).ok())?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+        tokio::task::LocalSet::new().block_on(&runtime, serve(config))
+    };
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(text) => {
+            eprintln!("cairnroad: {text}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(config: config::Config) -> Result<(), String> {
+    let mut stop = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let clock = Clock::new();
+    let (asks, asked) = mpsc::channel(stages::intake::QUEUE);
+    let (to_core, messages) = mpsc::channel(MESSAGES);
+    let (phase, phases) = watch::channel(Phase::Starting);
+    let phase = Rc::new(phase);
+    let (open, last) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(clock.now())));
+    let deployment = Rc::new(config.deployment.clone());
+    let addresses = [(Some(config.listen), Kind::Platform), (config.opensearch, Kind::OpenSearch)];
+    for (address, kind) in addresses {
+        let Some(address) = address else { continue };
+        let listener = TcpListener::bind(address).await.map_err(|e| format!("listen on {address}: {e}"))?;
+        let bound = listener.local_addr().map_err(|e| format!("listen on {address}: {e}"))?;
+        log!(
+            "{}: {} on {bound}",
+            config.name,
+            if kind == Kind::Platform { "platform" } else { "opensearch" }
+        );
+        let front = Front {
+            deployment: deployment.clone(),
+            core: asks.clone(),
+            clock: clock.clone(),
+            phase: phases.clone(),
+            limits: config.limits,
+            open: open.clone(),
+            last: last.clone(),
+            kind,
+            names: Cell::new(config.seed),
+        };
+        tokio::task::spawn_local(fronts::listen(listener, Rc::new(front)));
+    }
+    let core = Core::new(&config, clock.clone(), asked, (to_core.clone(), messages), phase.clone());
+    tokio::task::spawn_local(discovery::watch(config.discovery, to_core));
+    let core = tokio::task::spawn_local(core.run(config.deployment.policy.tick));
+    tokio::select! {
+        _ = stop.recv() => {}
+        end = core => return Err(format!("the core ended: {end:?}")),
+    }
+    // The order to stop: all that still comes is answered, then the program ends.
+    phase.send_replace(Phase::Stopping);
+    tokio::time::sleep(CLOSE_IDLE).await;
+    phase.send_replace(Phase::Closing);
+    tokio::time::sleep(EARLIEST_END).await;
+    while open.get() > 0 || clock.now() - last.get() < QUIET {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/node/src/pool.rs
@@ -0,0 +1,418 @@
+//! The connections to servers, as the core sees them: which there are, what is out on each, and which one the
+//! next call takes. Each connection is a task of its own (see `backends`), reached through a bounded queue.
+
+use crate::backends;
+use crate::config::{BackendKind, Config};
+use crate::discovery::Row;
+use crate::log;
+use crate::stages::{Attempt, Brought, Clock, Ended, Job, Message, Value};
+use cairnroad::{Outcome, ServerId, ServerState, Time};
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::{mpsc, Notify};
+
+/// Commands that may wait for a connection. One that lets them pile up has hung.
+const QUEUE: usize = 256;
+/// A connection that owes an answer and has been silent for so long gets nothing new: its machine may be gone.
+/// A fresh one fails in the dial time-out, which proves that a part never ran; silence proves nothing.
+const SILENT: f64 = 0.9;
+/// Idle connections are closed after this share of the time after which their other side does so.
+const IDLE_SHARE: f64 = 0.7;
+
+/// What the core asks of a connection.
+pub enum Command {
+    /// Parts that make up one call.
+    Call(Vec<Job>),
+    Cancel(Attempt),
+    Probe,
+}
+
+/// What a connection tells the core.
+pub struct LinkEvent {
+    pub link: u64,
+    pub what: What,
+}
+
+pub enum What {
+    Up,
+    Ended { attempt: Attempt, outcome: Outcome, value: Option<Value> },
+    Probed { outcome: Outcome, report: Vec<f64> },
+    Closed,
+}
+
+/// What both ends of a connection see at once.
+#[derive(Default)]
+pub struct Shared {
+    /// Nothing new may be written: its server drains or is gone.
+    barred: Cell<bool>,
+    /// The core is done with the connection.
+    ended: Notify,
+}
+
+impl Shared {
+    /// Resolves once the core is done with the connection.
+    pub async fn done(&self) {
+        self.ended.notified().await;
+    }
+}
+
+/// The task's end of a connection.
+pub struct LinkEnd {
+    pub id: u64,
+    pub address: SocketAddr,
+    pub commands: mpsc::Receiver<Command>,
+    pub shared: Rc<Shared>,
+    pub clock: Clock,
+    /// Names of a load report's values, in the settings' order.
+    pub report_names: Arc<[String]>,
+    core: mpsc::Sender<Message>,
+}
+
+impl LinkEnd {
+    pub fn barred(&self) -> bool {
+        self.shared.barred.get()
+    }
+
+    pub async fn tell(&self, what: What) {
+        let _ = self.core.send(Message::Link(LinkEvent { link: self.id, what })).await;
+    }
+
+    pub async fn ended(&self, attempt: Attempt, outcome: Outcome, value: Option<Value>) {
+        self.tell(What::Ended { attempt, outcome, value }).await;
+    }
+
+    /// Dials; `None` if that fails or the core ends it first.
+    pub async fn dial(&self) -> Option<tokio::net::TcpStream> {
+        tokio::select! {
+            biased;
+            () = self.shared.done() => None,
+            stream = tokio::net::TcpStream::connect(self.address) => {
+                let stream = stream.ok()?;
+                let _ = stream.set_nodelay(true);
+                self.tell(What::Up).await;
+                Some(stream)
+            }
+        }
+    }
+
+    /// Reports what never reached the wire, then the end.
+    pub async fn close(mut self, unsent: Vec<Job>) {
+        for job in unsent {
+            self.ended(job.attempt, Outcome::ConnectFailed, None).await;
+        }
+        self.commands.close();
+        while let Ok(command) = self.commands.try_recv() {
+            match command {
+                Command::Call(jobs) => {
+                    for job in jobs {
+                        self.ended(job.attempt, Outcome::ConnectFailed, None).await;
+                    }
+                }
+                Command::Probe => {
+                    self.tell(What::Probed { outcome: Outcome::ConnectFailed, report: Vec::new() }).await
+                }
+                Command::Cancel(_) => {}
+            }
+        }
+        self.tell(What::Closed).await;
+    }
+}
+
+/// The core's end of a connection.
+struct Link {
+    server: ServerId,
+    address: SocketAddr,
+    commands: mpsc::Sender<Command>,
+    shared: Rc<Shared>,
+    up: bool,
+    out: BTreeSet<Attempt>,
+    used: Time,
+    /// The first send since it was last heard of.
+    silent_since: Option<Time>,
+    /// It gets nothing new.
+    retired: bool,
+}
+
+impl Link {
+    fn end(&mut self) {
+        self.retired = true;
+        self.shared.ended.notify_one();
+    }
+}
+
+struct Node {
+    address: SocketAddr,
+    state: ServerState,
+}
+
+pub struct Pool {
+    kind: BackendKind,
+    most_links: usize,
+    /// Parts that one connection may carry at a time, and parts of one call.
+    streams: usize,
+    batch: usize,
+    dial_timeout: f64,
+    idle: f64,
+    report_names: Arc<[String]>,
+    clock: Clock,
+    core: mpsc::Sender<Message>,
+    next: u64,
+    nodes: BTreeMap<ServerId, Node>,
+    links: BTreeMap<u64, Link>,
+    /// On which connection each attempt is out.
+    out: BTreeMap<Attempt, u64>,
+    staged: BTreeMap<ServerId, Vec<Job>>,
+}
+
+impl Pool {
+    pub fn new(config: &Config, clock: Clock, core: mpsc::Sender<Message>) -> Self {
+        let deployment = &config.deployment;
+        // HTTP/1.1 carries one request at a time, and a search is a request of its own.
+        let (streams, batch) = match config.backend {
+            BackendKind::Frames => (deployment.streams, deployment.parts_a_call.min(deployment.streams)),
+            BackendKind::OpenSearch => (1, 1),
+        };
+        Pool {
+            kind: config.backend,
+            most_links: config.limits.links,
+            streams,
+            batch,
+            dial_timeout: deployment.dial_timeout,
+            idle: deployment.keepalive * IDLE_SHARE,
+            report_names: deployment.report_names.clone().into(),
+            clock,
+            core,
+            next: 0,
+            nodes: BTreeMap::new(),
+            links: BTreeMap::new(),
+            out: BTreeMap::new(),
+            staged: BTreeMap::new(),
+        }
+    }
+
+    pub fn any_ready(&self) -> bool {
+        self.nodes.values().any(|node| node.state == ServerState::Ready)
+    }
+
+    /// Takes in the list. What is queued for a server that drains or is gone is not sent any more.
+    pub fn note_list(&mut self, rows: &[(ServerId, Row)], complete: bool) {
+        if complete && !rows.is_empty() {
+            let listed: BTreeSet<ServerId> = rows.iter().map(|(server, _)| *server).collect();
+            for (server, node) in &mut self.nodes {
+                if !listed.contains(server) {
+                    node.state = ServerState::Gone;
+                }
+            }
+        }
+        for (server, row) in rows {
+            self.nodes.insert(*server, Node { address: row.address, state: row.state });
+        }
+        for link in self.links.values_mut() {
+            let Some(node) = self.nodes.get(&link.server) else { continue };
+            let barred = node.state != ServerState::Ready;
+            link.shared.barred.set(barred);
+            if barred && !link.up {
+                // A connection still being dialled may come up after the grace, with calls in its queue.
+                link.end();
+            }
+            if link.address != node.address {
+                link.retired = true;
+            }
+        }
+    }
+
+    /// Keeps a part for the tick's calls.
+    pub fn stage(&mut self, server: ServerId, job: Job) {
+        self.staged.entry(server).or_default().push(job);
+    }
+
+    /// Sends what is staged, call by call. Returns the parts that no connection takes, and new dials with the
+    /// moment by which each must be up.
+    pub fn flush(&mut self, now: Time) -> (Vec<Ended>, Vec<(u64, Time)>) {
+        let (mut failed, mut dials) = (Vec::new(), Vec::new());
+        for (server, mut jobs) in std::mem::take(&mut self.staged) {
+            while !jobs.is_empty() {
+                let rest = jobs.split_off(jobs.len().min(self.batch));
+                let call = std::mem::replace(&mut jobs, rest);
+                let Some(id) = self.link_for(now, server, &call, &mut dials) else {
+                    let ended = |job: Job| Ended {
+                        attempt: job.attempt,
+                        outcome: Outcome::ConnectFailed,
+                        value: None,
+                    };
+                    failed.extend(call.into_iter().map(ended));
+                    continue;
+                };
+                let Some(link) = self.links.get_mut(&id) else { continue };
+                for job in &call {
+                    link.out.insert(job.attempt);
+                    self.out.insert(job.attempt, id);
+                }
+                link.used = now;
+                link.silent_since.get_or_insert(now);
+                // `link_for` saw room in the queue.
+                let _ = link.commands.try_send(Command::Call(call));
+            }
+        }
+        (failed, dials)
+    }
+
+    /// The connection that a call takes: the one with the least out that has room, else a new one.
+    fn link_for(
+        &mut self,
+        now: Time,
+        server: ServerId,
+        call: &[Job],
+        dials: &mut Vec<(u64, Time)>,
+    ) -> Option<u64> {
+        let node = self.nodes.get(&server).filter(|node| node.state == ServerState::Ready)?;
+        let address = node.address;
+        let silent = |link: &Link| link.silent_since.is_some_and(|at| now - at > SILENT);
+        let usable = self.links.iter().filter(|(_, link)| {
+            link.server == server
+                && !link.retired
+                && !silent(link)
+                && link.out.len() + call.len() <= self.streams
+                && link.commands.capacity() > 0
+                // Names tell parts apart on a connection: two attempts of one part never share one.
+                && !call.iter().any(|job| link.out.iter().any(|out| out.part == job.attempt.part))
+        });
+        let best = usable.min_by_key(|(_, link)| (!link.up, link.out.len())).map(|(&id, _)| id);
+        if best.is_some() {
+            return best;
+        }
+        if self.links.len() >= self.most_links && !self.close_an_idle_one() {
+            log!("no connection left for server {address}: {} are open", self.links.len());
+            return None;
+        }
+        let id = self.next;
+        self.next += 1;
+        let shared = Rc::new(Shared::default());
+        let (commands, queue) = mpsc::channel(QUEUE);
+        let end = LinkEnd {
+            id,
+            address,
+            commands: queue,
+            shared: shared.clone(),
+            clock: self.clock.clone(),
+            report_names: self.report_names.clone(),
+            core: self.core.clone(),
+        };
+        backends::spawn(self.kind, end);
+        let link = Link {
+            server,
+            address,
+            commands,
+            shared,
+            up: false,
+            out: BTreeSet::new(),
+            used: now,
+            silent_since: None,
+            retired: false,
+        };
+        self.links.insert(id, link);
+        dials.push((id, now + self.dial_timeout));
+        Some(id)
+    }
+
+    /// Makes room under the limit on connections.
+    fn close_an_idle_one(&mut self) -> bool {
+        let idle = self.links.values_mut().filter(|link| link.out.is_empty() && !link.retired);
+        match idle.min_by_key(|link| link.used) {
+            Some(link) => {
+                link.end();
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Stops waiting for an attempt and tells the server, or drops it where it is still staged.
+    pub fn cancel(&mut self, now: Time, attempt: Attempt) {
+        for jobs in self.staged.values_mut() {
+            jobs.retain(|job| job.attempt != attempt);
+        }
+        let Some(id) = self.out.remove(&attempt) else { return };
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.out.remove(&attempt);
+        link.used = now;
+        if link.commands.try_send(Command::Cancel(attempt)).is_err() {
+            link.end();
+        }
+        if link.out.is_empty() {
+            match link.silent_since.take() {
+                // It owed an answer for too long: what comes next dials anew.
+                Some(at) if now - at > SILENT => link.end(),
+                _ => {}
+            }
+        }
+    }
+
+    /// An attempt's time is up. Whether it was still out.
+    pub fn abandon(&mut self, attempt: Attempt) -> bool {
+        let out = self.out.contains_key(&attempt);
+        if out {
+            self.cancel(self.clock.now(), attempt);
+        }
+        out
+    }
+
+    /// Asks a server for its load report, on a connection that is up.
+    pub fn probe(&mut self, server: ServerId) {
+        let mut links = self.links.values().filter(|link| link.server == server && link.up && !link.retired);
+        let sent = links.any(|link| link.commands.try_send(Command::Probe).is_ok());
+        if !sent {
+            let what = What::Probed { outcome: Outcome::Moot, report: Vec::new() };
+            let _ = self.core.try_send(Message::Link(LinkEvent { link: u64::MAX, what }));
+        }
+    }
+
+    /// A connection that is not up by now has failed.
+    pub fn dial_is_due(&mut self, link: u64) {
+        if let Some(link) = self.links.get_mut(&link).filter(|link| !link.up) {
+            link.end();
+        }
+    }
+
+    /// Closes connections that stand idle, before their other side does so without a word.
+    pub fn sweep(&mut self, now: Time) {
+        for link in self.links.values_mut() {
+            let idle = now - link.used > self.idle;
+            if link.up && link.out.is_empty() && (idle || link.retired) {
+                link.end();
+            }
+        }
+    }
+
+    /// Notes what a connection tells; returns what the decisions must hear.
+    pub fn note(&mut self, now: Time, event: LinkEvent) -> Option<Brought> {
+        let link = self.links.get_mut(&event.link)?;
+        match event.what {
+            What::Up => {
+                link.up = true;
+                link.silent_since = (!link.out.is_empty()).then_some(now);
+                None
+            }
+            What::Ended { attempt, outcome, value } => {
+                let known = link.out.remove(&attempt);
+                if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
+                    link.used = now;
+                    link.silent_since = (!link.out.is_empty()).then_some(now);
+                }
+                if !known {
+                    return None; // cancelled or timed out meanwhile
+                }
+                self.out.remove(&attempt);
+                Some(Brought::Attempt(Ended { attempt, outcome, value }))
+            }
+            What::Probed { outcome, report } => Some(Brought::Probe { server: link.server, outcome, report }),
+            What::Closed => {
+                self.links.remove(&event.link);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/stages/admit.rs
@@ -0,0 +1,29 @@
+//! Admit: lets a request in, with ids of its own, or refuses it at once where the coordinator holds all it may.
+
+use super::{book::Book, route::Route, Answer, Ask};
+use cairnroad::{ClassId, Event, Time};
+
+/// Advice for a request that finds the coordinator full, as a share of its class's aim.
+const FULL_ADVICE: f64 = 0.5;
+
+pub fn admit(now: Time, ask: Ask, book: &mut Book, route: &mut Route) {
+    if ask.reply.is_closed() {
+        return; // its client left before it was taken in
+    }
+    if !book.has_room(ask.request.parts.len()) {
+        let retry_after = FULL_ADVICE * route.aim(ask.request.class);
+        let _ = ask.reply.send(Answer::Refused { retry_after, busy: true });
+        return;
+    }
+    if ask.request.due <= now {
+        let _ = ask.reply.send(Answer::Failed { late: true });
+        return;
+    }
+    let (class, due) = (ClassId(ask.request.class as u16), ask.request.due);
+    let (work, repeat) = (ask.request.work, ask.request.repeat);
+    let (id, parts) = book.open(ask);
+    route.push(Event::Query { id, class, number: id.0, due, work, repeat });
+    for (part, spec) in parts {
+        route.push(Event::Part { id: part, number: id.0, shard: spec.shard, weight: spec.weight });
+    }
+}
--- /dev/null
+++ b/node/src/stages/intake.rs
@@ -0,0 +1,34 @@
+//! Intake: the bounded queue between the fronts and the core.
+
+use super::{Answer, Ask, Request};
+use tokio::sync::{mpsc, oneshot};
+
+/// Requests that may wait for the core's next tick.
+pub const QUEUE: usize = 256;
+/// Advice for a request that finds the queue full, in seconds.
+const FULL_ADVICE: f64 = 1.0;
+
+/// The core's end.
+pub struct Intake(mpsc::Receiver<Ask>);
+
+impl Intake {
+    pub fn new(asks: mpsc::Receiver<Ask>) -> Self {
+        Intake(asks)
+    }
+
+    /// All that came since the last tick.
+    pub fn take(&mut self) -> Vec<Ask> {
+        std::iter::from_fn(|| self.0.try_recv().ok()).collect()
+    }
+}
+
+/// A front's end: hands a request over and returns where its answer will come. With the queue full, that is a
+/// refusal at once.
+pub fn hand_over(core: &mpsc::Sender<Ask>, request: Request) -> oneshot::Receiver<Answer> {
+    let (reply, answer) = oneshot::channel();
+    if let Err(fault) = core.try_send(Ask { request, reply }) {
+        let (mpsc::error::TrySendError::Full(ask) | mpsc::error::TrySendError::Closed(ask)) = fault;
+        let _ = ask.reply.send(Answer::Refused { retry_after: FULL_ADVICE, busy: true });
+    }
+    answer
+}
--- /dev/null
+++ b/node/src/stages/relay.rs
@@ -0,0 +1,31 @@
+//! Relay: words the decisions' final answers and gives each to its front, once.
+
+use super::book::Book;
+use super::Answer;
+use cairnroad::{Action, Time};
+
+/// Advice where the decisions give none, in seconds.
+const ADVICE: f64 = 1.0;
+
+/// Whether an action ends a query.
+pub fn is_final(action: &Action) -> bool {
+    matches!(action, Action::Answer { .. } | Action::Refuse { .. } | Action::Fail { .. })
+}
+
+pub fn relay(action: &Action, now: Time, book: &mut Book) {
+    let id = match *action {
+        Action::Answer { query, .. } | Action::Refuse { query, .. } | Action::Fail { query } => query,
+        _ => return,
+    };
+    // An id that is no longer open was withdrawn in this very tick.
+    let Some(open) = book.close(id) else { return };
+    let answer = match *action {
+        Action::Answer { whole, .. } => Answer::Served { whole, parts: open.answers() },
+        Action::Refuse { retry_after, .. } => {
+            Answer::Refused { retry_after: retry_after.unwrap_or(ADVICE), busy: open.never_sent() }
+        }
+        _ => Answer::Failed { late: open.is_late(now) },
+    };
+    // A front that is gone has lost its client: nobody is left to tell.
+    let _ = open.reply.send(answer);
+}
--- /dev/null
+++ b/node/src/stages/route.rs
@@ -0,0 +1,50 @@
+//! Route: the decisions, called once with all events of a tick.
+
+use crate::config::Config;
+use cairnroad::{Action, Aggregator, Event, Time};
+
+pub struct Route {
+    aggregator: Aggregator,
+    aims: Vec<f64>,
+    lists: Vec<Event>,
+    events: Vec<Event>,
+}
+
+impl Route {
+    pub fn new(config: &Config) -> Self {
+        let policy = config.deployment.policy.clone();
+        let aims = policy.classes.iter().map(|class| class.aim).collect();
+        Route {
+            aggregator: Aggregator::new(policy, config.seed),
+            aims,
+            lists: Vec::new(),
+            events: Vec::new(),
+        }
+    }
+
+    /// A class's aim in seconds.
+    pub fn aim(&self, class: usize) -> f64 {
+        self.aims.get(class).copied().unwrap_or(1.0)
+    }
+
+    /// Notes an event for the next call. News of servers comes before all else: a send of this very tick must
+    /// not go to a server that the tick's news drains.
+    pub fn push(&mut self, event: Event) {
+        match event {
+            Event::List(_) => self.lists.push(event),
+            _ => self.events.push(event),
+        }
+    }
+
+    pub fn has_events(&self) -> bool {
+        !self.lists.is_empty() || !self.events.is_empty()
+    }
+
+    pub fn decide(&mut self, now: Time) -> Vec<Action> {
+        let mut events = std::mem::take(&mut self.lists);
+        events.append(&mut self.events);
+        let mut actions = Vec::new();
+        self.aggregator.handle(now, &events, &mut actions);
+        actions
+    }
+}
--- /dev/null
+++ b/node/src/stages/send.rs
@@ -0,0 +1,32 @@
+//! Send: carries the decisions' sends, cancels, probes and timers to the pool and the wheel. Sends of one tick
+//! to one server leave together.
+
+use super::{book::Book, Due, Ended};
+use crate::pool::Pool;
+use crate::wheel::Wheel;
+use cairnroad::{Action, Time};
+
+pub fn carry(now: Time, action: &Action, book: &mut Book, pool: &mut Pool, wheel: &mut Wheel<Due>) {
+    match *action {
+        Action::Send { part, server, until } => {
+            if let Some(job) = book.job(part, until) {
+                wheel.insert(until, Due::Attempt(job.attempt));
+                pool.stage(server, job);
+            }
+        }
+        Action::Cancel { part, attempt } => pool.cancel(now, super::Attempt { part, number: attempt }),
+        Action::Probe(server) => pool.probe(server),
+        Action::Wake(at) => wheel.insert(at, Due::Wake),
+        // The watch asks by itself; finals are the relay's.
+        Action::Subscribe | Action::Answer { .. } | Action::Refuse { .. } | Action::Fail { .. } => {}
+    }
+}
+
+/// Sends what is staged; returns attempts that could not be sent at all.
+pub fn flush(now: Time, pool: &mut Pool, wheel: &mut Wheel<Due>) -> Vec<Ended> {
+    let (failed, dials) = pool.flush(now);
+    for (link, at) in dials {
+        wheel.insert(at, Due::Dial(link));
+    }
+    failed
+}
--- /dev/null
+++ b/node/src/wheel.rs
@@ -0,0 +1,65 @@
+//! Coarse timers: a hashed wheel whose slots are one tick wide. An item never fires before its moment; it
+//! fires in the first turn at or after the end of its tick. Nothing is taken back: whoever gets an item asks
+//! whether it still matters.
+
+use cairnroad::Time;
+
+const SLOTS: i64 = 1024;
+
+/// Items by the tick in which they fall due.
+pub struct Wheel<T> {
+    tick: i64,
+    /// The last tick that was turned to.
+    at: i64,
+    slots: Vec<Vec<(i64, T)>>,
+}
+
+impl<T> Wheel<T> {
+    /// A wheel that stands at `now` and turns in steps of `tick` seconds.
+    pub fn new(now: Time, tick: f64) -> Self {
+        let tick = ((tick * 1e6) as i64).max(1);
+        Wheel { tick, at: now.0.div_euclid(tick), slots: (0..SLOTS).map(|_| Vec::new()).collect() }
+    }
+
+    /// Has `item` fire at the first turn at or after `at`, and not before the next tick.
+    pub fn insert(&mut self, at: Time, item: T) {
+        let due = at.0.saturating_add(self.tick - 1).div_euclid(self.tick).max(self.at + 1);
+        self.slots[due.rem_euclid(SLOTS) as usize].push((due, item));
+    }
+
+    /// Turns to `now` and returns what fell due, in order of its ticks.
+    pub fn turn(&mut self, now: Time) -> Vec<T> {
+        let to = now.0.div_euclid(self.tick);
+        let mut due = Vec::new();
+        // After a long stall one round over all slots finds everything.
+        for at in (self.at + 1)..=to.min(self.at + SLOTS) {
+            let slot = &mut self.slots[at.rem_euclid(SLOTS) as usize];
+            due.extend(slot.extract_if(.., |(tick, _)| *tick <= to));
+        }
+        self.at = self.at.max(to);
+        due.sort_by_key(|&(tick, _)| tick);
+        due.into_iter().map(|(_, item)| item).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn items_fire_in_order_and_never_early() {
+        let start = Time::from_secs(100.0);
+        let mut wheel = Wheel::new(start, 0.005);
+        for (secs, name) in [(0.012, 'b'), (0.001, 'a'), (20.0, 'z'), (5.12, 'r')] {
+            wheel.insert(start + secs, name);
+        }
+        assert_eq!(wheel.turn(start), vec![]);
+        assert_eq!(wheel.turn(start + 0.005), vec!['a']);
+        assert_eq!(wheel.turn(start + 0.0149), vec![]);
+        assert_eq!(wheel.turn(start + 0.015), vec!['b']);
+        assert_eq!(wheel.turn(start + 30.0), vec!['r', 'z'], "a long stall fires all, once");
+        wheel.insert(start, 'p');
+        assert_eq!(wheel.turn(start + 30.0), vec![], "the past fires in the next tick, not in this one");
+        assert_eq!(wheel.turn(start + 30.005), vec!['p']);
+    }
+}
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -23,8 +23,8 @@
         for (at, record) in batch.records.into_iter().enumerate() {
             match record {
                 Record::Provision { instance, seed, setup } => {
-                    let settings =
-                        cairnroad_settings::parse(&setup).map_err(|e| format!("record {at}, provision: {e}"))?;
+                    let settings = cairnroad_settings::parse(&setup)
+                        .map_err(|e| format!("record {at}, provision: {e}"))?;
                     self.instances.insert(instance, Aggregator::new(settings.policy, seed));
                     inbox.insert(instance, Vec::new());
                 }
