--- a/node/src/backends/frames.rs
+++ b/node/src/backends/frames.rs
@@ -242,7 +242,7 @@
                 let Some(attempt) = wire.out.remove(id) else { continue };
                 wire.names.remove(&attempt);
                 let outcome = outcome(word);
-                let value = (outcome == Outcome::Ok).then(|| Value::from(value));
+                let value = (outcome == Outcome::Ok).then(|| Value::Plain(value.into()));
                 end.ended(attempt, outcome, value).await;
             }
             Frame::Ping => {}
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -25,9 +25,20 @@
     pub deployment: Deployment,
     /// Where the second front listens, if it is on.
     pub opensearch: Option<SocketAddr>,
+    /// What its clients may name.
+    pub indices: Vec<Index>,
     pub backend: BackendKind,
 }
 
+/// An index of the query API: a class of query over a range of shards.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Index {
+    pub name: String,
+    pub class: usize,
+    pub first: u32,
+    pub last: u32,
+}
+
 /// Shares of the descriptors and of memory, worked out once.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -91,6 +102,16 @@
     #[serde(default)]
     enabled: bool,
     listen: Option<String>,
+    #[serde(default)]
+    index: Vec<OwnIndex>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OwnIndex {
+    name: String,
+    class: String,
+    shards: Option<[u32; 2]>,
 }
 
 #[derive(Default, Deserialize)]
@@ -141,6 +162,7 @@
             return Err("'opensearch.listen' is missing though 'opensearch.enabled' is true".into())
         }
     };
+    let indices = indices(own.opensearch.index, &deployment)?;
     Ok(Config {
         name: told("name", "NODE_NAME", json.name).unwrap_or_else(|_| "cairnroad".into()),
         listen: address("listen", told("listen", "NODE_LISTEN", json.listen)?)?,
@@ -156,15 +178,38 @@
         },
         deployment,
         opensearch,
+        indices,
         backend: own.backend.kind,
     })
 }
 
+/// The indices that the file names; where it names none, each class is one over all shards.
+fn indices(own: Vec<OwnIndex>, deployment: &Deployment) -> Result<Vec<Index>, String> {
+    let last = deployment.shards.saturating_sub(1);
+    if own.is_empty() {
+        let names = deployment.class_names.iter().enumerate();
+        return Ok(names.map(|(class, name)| Index { name: name.clone(), class, first: 0, last }).collect());
+    }
+    let index = |own: OwnIndex| {
+        let class = deployment.class_names.iter().position(|name| *name == own.class);
+        let class = class.ok_or(format!("'opensearch.index.class': '{}' is no class", own.class))?;
+        let [first, end] = own.shards.unwrap_or([0, last]);
+        if first > end || end > last {
+            return Err(format!("'opensearch.index.shards' of '{}': there are shards 0 to {last}", own.name));
+        }
+        if own.name.is_empty() || own.name.starts_with('_') || own.name.contains(['/', ',', '*', '?']) {
+            return Err(format!("'opensearch.index.name': '{}' can't be an index", own.name));
+        }
+        Ok(Index { name: own.name, class, first, last: end })
+    };
+    own.into_iter().map(index).collect()
+}
+
 #[cfg(test)]
-pub mod tests {
+mod tests {
     use super::*;
 
-    pub const SETTINGS: &str = r#"{"classes":[
+    const SETTINGS: &str = r#"{"classes":[
         {"name":"stock-search","aimS":1.0,"deadlineS":2.0,"effect":"idempotent","value":3.0,"lateShare":0.3},
         {"name":"pick-confirm","aimS":1.0,"deadlineS":2.5,"effect":"at_most_once","value":1.0,"lateShare":0.3}],
         "groupSize":1,"registryMode":"pushed","tickS":0.005,"report":{"how":"piggyback","names":["queue","latency_ms"]},
--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -4,7 +4,7 @@
 pub mod opensearch;
 pub mod platform;
 
-use crate::config::Limits;
+use crate::config::{Index, Limits};
 use crate::http;
 use crate::log;
 use crate::stages::{intake, Answer, Ask, Clock, Phase, Request};
@@ -39,8 +39,19 @@
     pub last: Rc<Cell<Time>>,
     pub kind: Kind,
     /// Names for requests that bring none.
-    #[allow(dead_code)]
     pub names: Cell<u64>,
+    /// What the query API's clients may name.
+    pub indices: Rc<Vec<Index>>,
+}
+
+impl Front {
+    /// A name for a request that brings none: unlike any other of this or another coordinator's.
+    pub fn fresh_name(&self) -> String {
+        let number = self.names.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.names.set(number);
+        let mixed = (number ^ (number >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        format!("{:016x}", mixed ^ (mixed >> 29))
+    }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -148,7 +159,9 @@
         let crowded = front.open.get() > front.limits.clients;
         let asked_to_close = request.close;
         let mut exchange = Exchange { front, stream: &mut stream, buffer: &mut buffer };
+        let path = request.target.split('?').next().unwrap_or("");
         let reply = match (crowded, front.kind) {
+            _ if path == "/_health" => Ok(health(front, &request.method)),
             (true, Kind::Platform) => Ok(platform::crowded()),
             (true, Kind::OpenSearch) => Ok(opensearch::crowded()),
             (false, Kind::Platform) => platform::answer(front, &request, arrived, &mut exchange).await,
@@ -165,7 +178,7 @@
 fn refusal_of(front: &Front, status: u16, text: &str) -> Reply {
     match front.kind {
         Kind::Platform => platform::error(status, text),
-        Kind::OpenSearch => opensearch::error(status, "parsing_exception", text),
+        Kind::OpenSearch => opensearch::error(status, "illegal_argument_exception", text),
     }
 }
 
@@ -211,6 +224,15 @@
     let _ = tokio::time::timeout(Duration::from_millis(500), drain).await;
 }
 
+/// `GET /_health`, the same on both fronts: 200 only while the program is ready to serve.
+fn health(front: &Front, method: &str) -> Reply {
+    match (method, *front.phase.borrow()) {
+        ("GET", Phase::Serving) => Reply::json(200, b"{\"status\":\"ready\"}".to_vec()),
+        ("GET", _) => refusal_of(front, 503, "not ready").with("Retry-After", "1".into()),
+        _ => refusal_of(front, 405, "only GET is answered here").with("Allow", "GET".into()),
+    }
+}
+
 /// Seconds of advice, to the millisecond.
 pub fn decimal(secs: f64) -> String {
     format!("{:.3}", secs.max(0.001))
--- a/node/src/fronts/platform.rs
+++ b/node/src/fronts/platform.rs
@@ -2,7 +2,7 @@
 
 use super::{decimal, Exchange, Front, Reply, CROWDED_ADVICE};
 use crate::http;
-use crate::stages::{Answer, PartSpec, Phase, Request, Text};
+use crate::stages::{Answer, PartSpec, Request, Text, Value};
 use cairnroad::Time;
 use cairnroad_settings::Deployment;
 use serde::{Deserialize, Serialize};
@@ -47,16 +47,7 @@
 ) -> Result<Reply, ()> {
     let path = request.target.split('?').next().unwrap_or("");
     match (path, request.method.as_str()) {
-        ("/_health", "GET") => {
-            let serving = *front.phase.borrow() == Phase::Serving;
-            return Ok(if serving {
-                Reply::json(200, b"{\"status\":\"ready\"}".to_vec())
-            } else {
-                not_ready()
-            });
-        }
         ("/api", "POST") => {}
-        ("/_health", _) => return Ok(error(405, "only GET is answered here").with("Allow", "GET".into())),
         ("/api", _) => return Ok(error(405, "only POST is answered here").with("Allow", "POST".into())),
         _ => return Ok(error(404, "there is nothing at this path")),
     }
@@ -130,7 +121,13 @@
             for part in &parts {
                 let Ok(value) = &part.value else { continue };
                 // A value that a JSON string can't carry unchanged can't be passed on at all.
-                let Ok(doc) = std::str::from_utf8(value) else { return error(502, "a value is not text") };
+                let doc = match value {
+                    Value::Hits(text) => text,
+                    Value::Plain(bytes) => match std::str::from_utf8(bytes) {
+                        Ok(text) => text,
+                        Err(_) => return error(502, "a value is not text"),
+                    },
+                };
                 hits.push(Hit { shard: part.shard, doc });
             }
             let body = serde_json::to_vec(&Whole { complete: whole, hits }).unwrap_or_default();
@@ -149,10 +146,6 @@
     error(503, "too many connections").with("Retry-After", decimal(CROWDED_ADVICE))
 }
 
-fn not_ready() -> Reply {
-    error(503, "not ready").with("Retry-After", decimal(CROWDED_ADVICE))
-}
-
 pub fn error(status: u16, text: &str) -> Reply {
     Reply::json(status, serde_json::json!({ "error": text }).to_string().into_bytes())
 }
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -72,7 +72,6 @@
 #[derive(Clone, Debug)]
 pub struct Response {
     pub status: u16,
-    pub fields: Fields,
     pub body: Vec<u8>,
     /// The other side closes the connection after this.
     pub close: bool,
@@ -277,7 +276,7 @@
             None => return Ok(None),
         },
     };
-    Ok(Some((Response { status, fields, body, close }, end + used)))
+    Ok(Some((Response { status, body, close }, end + used)))
 }
 
 /// The head without the empty line that ends it.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -54,6 +54,7 @@
     let phase = Rc::new(phase);
     let (open, last) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(clock.now())));
     let deployment = Rc::new(config.deployment.clone());
+    let indices = Rc::new(config.indices.clone());
     let addresses = [(Some(config.listen), Kind::Platform), (config.opensearch, Kind::OpenSearch)];
     for (address, kind) in addresses {
         let Some(address) = address else { continue };
@@ -74,6 +75,7 @@
             last: last.clone(),
             kind,
             names: Cell::new(config.seed),
+            indices: indices.clone(),
         };
         tokio::task::spawn_local(fronts::listen(listener, Rc::new(front)));
     }
--- a/node/src/stages/mod.rs
+++ b/node/src/stages/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! `intake` takes requests from the fronts, `admit` lets them in or not, `route` asks the decisions, `send`
 //! carries their sends and cancels to the pool, `relay` words the final answers, `book` keeps the table of what
-//! is open. One task, [`run`], owns them all.
+//! is open. One task, [`Core`], owns them all.
 
 pub mod admit;
 pub mod book;
@@ -62,8 +62,14 @@
     pub text: Text,
 }
 
-/// What a server gave for a part: the bytes as they came.
-pub type Value = Arc<[u8]>;
+/// What a server gave for a part, byte by byte as it came.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    /// A value that is nobody's but the server's and the client's.
+    Plain(Arc<[u8]>),
+    /// A hits object of the query language.
+    Hits(Arc<str>),
+}
 
 /// What became of one part of an answered request.
 #[derive(Clone, Debug)]
@@ -172,12 +178,6 @@
         Time(self.0.unix.0 + self.0.start.elapsed().as_micros() as i64)
     }
 
-    /// The instant of the runtime's clock that is at this moment.
-    pub fn instant(&self, at: Time) -> tokio::time::Instant {
-        let since = (at.0 - self.0.unix.0).max(0) as u64;
-        tokio::time::Instant::from_std(self.0.start + Duration::from_micros(since))
-    }
-
     /// Called by the core's every tick.
     pub fn beat(&self) {
         let now = self.now();
