--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,6 +7,8 @@
 mod fronts;
 mod http;
 mod log;
+#[cfg(test)]
+mod parser_tests;
 mod pool;
 mod stages;
 mod wheel;
--- /dev/null
+++ b/node/tests/serving.rs
@@ -0,0 +1,187 @@
+//! The program on its sockets: what a client, a drained server and an operator who stops it see.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use std::io::{BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < Duration::from_secs(20), "{what} did not come");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn bad_requests_are_told_apart() {
+    let rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Serve), 1000);
+    let good = json!({"shards": [{"shard": 1, "weight": 1.0}], "q": "~1~"}).to_string();
+    let with = |class: &str, deadline: &str, body: &str| {
+        let fields = [("X-Request-Id", "a1"), ("X-Class", class), ("X-Deadline", deadline)];
+        rig.call(rig.platform, "POST /api", &fields, body).status
+    };
+    assert_eq!(with("stock-search", "1.5", &good), 200);
+    assert_eq!(with("no-such", "1.5", &good), 400);
+    assert_eq!(with("stock-search", "soon", &good), 400);
+    assert_eq!(with("stock-search", "1.5", "{"), 400);
+    for (find, put) in [("\"shard\":1", "\"shard\":99"), ("1.0", "0.4"), ("\"q\":", "\"r\":")] {
+        assert_eq!(with("stock-search", "1.5", &good.replace(find, put)), 400, "{put}");
+    }
+    assert_eq!(with("stock-search", "1.5", &"x".repeat(70_000)), 413);
+    assert_eq!(rig.call(rig.platform, "GET /api", &[], "").status, 405);
+    assert_eq!(rig.call(rig.platform, "GET /nothing", &[], "").status, 404);
+    assert_eq!(rig.call(rig.platform, "POST", &[], "").status, 400);
+    let search = |target: &str, body| rig.search(target, body);
+    let query = json!({"query": {"match": {"text": "~2~"}}});
+    assert_eq!(search("/stock-search/_search", query.clone()).status, 200);
+    let missing = search("/no-such/_search", query.clone());
+    assert_eq!((missing.status, missing.json["error"]["type"].as_str()), (404, Some("index_not_found_exception")));
+    let clause = search("/stock-search/_search", json!({"query": {"match_all": {}}, "aggs": {}}));
+    assert_eq!(clause.status, 400);
+    assert!(clause.json["error"]["reason"].as_str().unwrap().contains("[aggs]"), "{}", clause.json);
+    for target in ["?preference=_shards:99", "?timeout=soon", "?scroll=1m", "?size=20000", "?preference=_local"] {
+        assert_eq!(search(&format!("/stock-search/_search{target}"), query.clone()).status, 400, "{target}");
+    }
+    assert_eq!(search("/stock-search/_search", json!({"query": []})).status, 400);
+    assert_eq!(search("/a,b/_search", query).status, 400);
+    assert_eq!(rig.call(rig.opensearch, "DELETE /stock-search/_search", &[], "").status, 405);
+    assert_eq!(rig.call(rig.opensearch, "GET /_cat/indices", &[], "").status, 404);
+}
+
+#[test]
+fn the_cap_on_open_work_refuses_at_once_and_says_when_to_return() {
+    let rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Serve), 4);
+    let refused = rig.api("big", "stock-search", "1.5", &[0, 1, 2, 3, 4], "~1~");
+    assert_eq!(refused.status, 429);
+    assert!(refused.fields["retry-after"].parse::<f64>().unwrap() > 0.0);
+    let refused = rig.search("/stock-search/_search", json!({"query": {"match": {"text": "~2~"}}}));
+    assert_eq!((refused.status, refused.json["status"].as_u64()), (429, Some(429)));
+    assert!(refused.fields["retry-after"].parse::<u64>().unwrap() >= 1, "whole seconds on this front");
+    assert_eq!(rig.api("small", "stock-search", "1.5", &[0, 1], "~3~").status, 200);
+    assert!(rig.stage.runs().keys().all(|(marker, _)| *marker == 3), "a refused query reached a server");
+}
+
+#[test]
+fn silence_ends_as_late_and_partial_answers_need_leave() {
+    // Shard 7 never answers; four of five parts are the class's least share.
+    let plan = |_, shard, _| if shard == 7 { Act::Silent } else { Act::Serve };
+    for servers in [Wire::Platform, Wire::OpenSearch] {
+        let rig = Rig::start(servers, Stage::new(plan), 1000);
+        let partial = rig.api("p", "stock-search", "1.2", &[3, 4, 5, 6, 7], "~1~");
+        assert_eq!((partial.status, &partial.json["complete"]), (200, &json!(false)));
+        let body = json!({"query": {"match": {"text": "~2~"}}});
+        let target = "/stock-search/_search?preference=_shards:3,4,5,6,7&timeout=1200ms";
+        let partial = rig.search(target, body.clone());
+        assert_eq!((partial.status, &partial.json["timed_out"]), (200, &json!(true)), "{}", partial.json);
+        assert_eq!(partial.json["_shards"]["failures"][0]["shard"], json!(7));
+        let forbidden = rig.search(&format!("{target}&allow_partial_search_results=false"), body.clone());
+        assert_eq!(forbidden.status, 504, "{}", forbidden.json);
+        // Under the floor there is no answer, and a part that may have run is not refused.
+        let late = rig.search("/pick-confirm/_search?preference=_shards:6,7&timeout=600ms", body);
+        assert_eq!(late.status, 504, "{}", late.json);
+        assert_eq!(rig.api("l", "pick-confirm", "0.6", &[6, 7], "~3~").status, 504);
+    }
+}
+
+#[test]
+fn msearch_answers_each_search_in_order_with_its_own_status() {
+    let rig = Rig::start(Wire::OpenSearch, Stage::new(|_, _, _| Act::Serve), 1000);
+    let search = |index: &str, number: u64| {
+        format!("{{\"index\":\"{index}\"}}\n{{\"query\":{{\"match\":{{\"text\":\"~{number}~\"}}}},\"size\":3}}\n")
+    };
+    let body = [search("stock-search", 1), search("no-such", 2), search("stock-search", 3)].concat();
+    let told = rig.call(rig.opensearch, "POST /_msearch", &[], &body);
+    assert_eq!(told.status, 200);
+    let statuses: Vec<_> = (0..3).map(|at| told.json["responses"][at]["status"].as_u64().unwrap()).collect();
+    assert_eq!(statuses, [200, 404, 200], "{}", told.json);
+    let hits = &told.json["responses"][2]["hits"];
+    // The best of all shards, best first, cut to the size asked for; all are counted.
+    assert_eq!((hits["total"]["value"].as_u64(), hits["hits"].as_array().unwrap().len()), (Some(8), 3));
+    assert_eq!((hits["max_score"].as_f64(), hits["hits"][0]["_id"].as_str()), (Some(8.0), Some("7")));
+    assert_eq!(rig.call(rig.opensearch, "POST /_msearch", &[], body.trim_end()).status, 400);
+}
+
+#[test]
+fn a_drained_server_gets_nothing_new() {
+    let rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Serve), 1000);
+    for number in 0..8 {
+        assert_eq!(rig.api(&format!("a{number}"), "pick-confirm", "2.0", &[0, 2], "~1~").status, 200);
+    }
+    let to_first = || rig.stage.seen.lock().unwrap().iter().filter(|seen| seen.server == 0).count();
+    assert!(to_first() > 0, "both replicas take turns");
+    let watches = || rig.discovery.calls.lock().unwrap().len();
+    let before = watches();
+    rig.discovery.set_phase(0, "leaving");
+    // The next watch comes once the answer before it was read and understood.
+    wait_for("the next watch", || watches() > before);
+    thread::sleep(Duration::from_millis(250));
+    let told = to_first();
+    for number in 0..8 {
+        assert_eq!(rig.api(&format!("b{number}"), "pick-confirm", "2.0", &[0, 2], "~2~").status, 200);
+    }
+    assert_eq!(to_first(), told);
+}
+
+#[test]
+fn a_server_that_refuses_connections_costs_no_answer() {
+    let stage = Stage::new(|_, _, _| Act::Serve);
+    let dead = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let member = |number: usize, address: String| {
+        json!({"id": format!("s{number}"), "host_port": address, "cell": number % 2, "phase": "active"})
+    };
+    let mut members: Vec<_> =
+        (0..4).map(|n| member(n, frame_server(n, stage.clone()).to_string())).collect();
+    members[0] = member(0, dead.to_string());
+    let rig = Rig::start_with(Wire::Platform, stage, 1000, members);
+    for number in 0..6 {
+        // No connection proves that the part never ran, so even this class goes elsewhere.
+        assert_eq!(rig.api(&format!("d{number}"), "pick-confirm", "2.0", &[0, 1], "~1~").status, 200);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_has_its_parts_cancelled() {
+    let rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Silent), 1000);
+    let mut stream = TcpStream::connect(rig.platform).unwrap();
+    let body = json!({"shards": [{"shard": 1, "weight": 1.0}], "q": "~1~"}).to_string();
+    let head = "POST /api HTTP/1.1\r\nX-Request-Id: gone\r\nX-Class: stock-search\r\nX-Deadline: 2\r\n";
+    stream.write_all(format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).as_bytes()).unwrap();
+    wait_for("the part", || !rig.stage.seen.lock().unwrap().is_empty());
+    drop(stream);
+    wait_for("the cancel", || {
+        rig.stage.seen.lock().unwrap().iter().all(|seen| seen.cancelled.load(Ordering::Relaxed))
+    });
+}
+
+#[test]
+fn an_order_to_stop_is_obeyed_once_all_is_answered() {
+    let mut rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Late(300)), 1000);
+    let ask = |stream: &mut TcpStream, id: &str| {
+        let body = json!({"shards": [{"shard": 1, "weight": 1.0}], "q": "~1~"}).to_string();
+        let head = format!("POST /api HTTP/1.1\r\nX-Request-Id: {id}\r\nX-Class: stock-search\r\n");
+        let length = body.len();
+        let text = format!("{head}X-Deadline: 2\r\nContent-Length: {length}\r\n\r\n{body}");
+        stream.write_all(text.as_bytes()).unwrap();
+    };
+    let mut early = TcpStream::connect(rig.platform).unwrap();
+    ask(&mut early, "early");
+    wait_for("the part", || !rig.stage.seen.lock().unwrap().is_empty());
+    rig.signal_stop();
+    wait_for("the order", || rig.call(rig.platform, "GET /_health", &[], "").status == 503);
+    let mut late = TcpStream::connect(rig.platform).unwrap();
+    ask(&mut late, "late");
+    for stream in [early, late] {
+        let mut reader = BufReader::new(stream);
+        let told = response(&mut reader);
+        assert_eq!((told.status, told.fields["connection"].as_str()), (200, "close"));
+        assert_eq!(reader.read(&mut [0]).unwrap(), 0, "the connection ends after its answer");
+    }
+    wait_for("the end", || rig.child.try_wait().unwrap().is_some());
+    assert!(rig.child.wait().unwrap().success());
+}
