Shed later: refuse a query only when its likely wait takes half of its aim or more

Ruled out: errors, time-outs and connections (none) and open cap (95 of several hundred). At fault: SHED_RANGE's lower bound, 0.27 of the aim, which two queued parts of 110 ms reach on this site, and SLOW_RANGE, whose 1 + ln(parts) times the usual answer is over 0.6 of the aim for fourteen parts as soon as the usual answer is 170 ms.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,9 +45,9 @@
 /// A query of middling worth is shed if its slowest part would likely take this share of its aim.
 const SHED_AT: f64 = 0.3;
 /// The bounds of that share for queries of low and high worth for their work.
-const SHED_RANGE: (f64, f64) = (0.27, 0.75);
+const SHED_RANGE: (f64, f64) = (0.5, 0.9);
 /// Shares of its aim between which a query's slowest part, going by usual times, has it refused by chance.
-const SLOW_RANGE: (f64, f64) = (0.6, 1.6);
+const SLOW_RANGE: (f64, f64) = (1.0, 2.4);
 /// The surest of such refusals: the rest of the queries tell when it is over.
 const SURE_REFUSAL: f64 = 0.9;
 /// Under this share of sound servers doubt proves little, and parts are sent all the same.
