--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,7 +43,7 @@
 /// Over how many warm-up times the usual take of a warm server is counted.
 const TAKE_WARM_UPS: f64 = 0.5;
 /// A query of middling worth is shed if its slowest part would likely take this share of its aim.
-const SHED_AT: f64 = 0.3;
+const SHED_AT: f64 = 0.5;
 /// The bounds of that share for queries of low and high worth for their work.
 const SHED_RANGE: (f64, f64) = (0.5, 0.9);
 /// Shares of its aim between which a query's slowest part, going by usual times, has it refused by chance.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -117,7 +117,7 @@
     let (events, id, _) = rig.query(0, &[0]);
     rig.play(&events);
     assert!(sends(&rig.after(0.5, &[Event::Wake])).is_empty(), "never copied");
-    let actions = rig.after(0.4, &[Event::Wake]);
+    let actions = rig.after(0.5, &[Event::Wake]);
     assert!(actions.contains(&Action::Fail { query: RequestId(id) }), "not refused while one is out");
 }
 
