Take parts that later ones overtook as long, not as a sign of a server's queue

Probe: each refusal with its holders' waits; likely_wait took the oldest part out as the queue's length, though later parts sent to the same server had been answered since. Now only parts sent after the latest answered send count.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -99,6 +99,8 @@
     last_sent: Time,
     /// Answer time in seconds, smoothed, and when it was last noted. Silence counts at its length so far.
     wait: (f64, Time),
+    /// The latest send that it answered. Older parts still out were overtaken: they are long, not waiting.
+    passed: Time,
     /// Parts earned while cold, and until when these are counted.
     earned: (f64, Time),
     /// Answers within the window for what servers take.
@@ -394,6 +396,7 @@
             Outcome::Ok => {
                 // A doubted server's slowness is its own, or its path's, and counts less.
                 *usual += (took - *usual) * USUAL_GAIN * if server.pace > DOUBT { PACE_GAIN } else { 1.0 };
+                server.passed = server.passed.max(flight.sent);
                 server.answers.push(now);
                 server.answers.count(now, self.settings.warm_up * TAKE_WARM_UPS);
                 (ratio, PACE_GAIN)
@@ -653,8 +656,9 @@
     /// How long a part sent now would likely take there. What was noted shrinks as time drains the queue,
     /// which lets work back in once a jam may have gone.
     fn likely_wait(&self, now: Time, server: &Server) -> f64 {
-        let oldest = server.out.first().and_then(|&(_, id, attempt)| self.flights.get(&(id, attempt)));
-        let oldest = oldest.map_or(0.0, |flight| now - flight.sent);
+        let waiting = server.out.iter().filter_map(|&(_, id, attempt)| self.flights.get(&(id, attempt)));
+        let waiting = waiting.filter(|flight| flight.sent > server.passed);
+        let oldest = waiting.map(|flight| now - flight.sent).fold(0.0, f64::max);
         oldest.max(server.wait.0 - (now - server.wait.1))
     }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -635,3 +635,24 @@
     assert_eq!(third[0], third[1]);
     assert_ne!(third[0], third[2], "a full call ends the turn");
 }
+
+#[test]
+fn a_part_that_later_ones_overtook_is_no_queue() {
+    // On a heavy-tail day the long parts of costly queries had everything refused at their servers.
+    for (overtaken, let_in) in [(true, true), (false, false)] {
+        let mut page = class(Effect::Unsafe);
+        page.late_share = 0.5;
+        let mut rig = Rig::new(Settings { cells: 1, reach: 1, ..settings(vec![page]) });
+        let one = Listed { cell: 0, ..listed(0, ServerState::Ready, None) };
+        rig.play(&[Event::List(ListNews::Full(vec![one]))]);
+        let (long, ..) = rig.query(0, &[0]);
+        rig.play(&long);
+        rig.after(0.05, &[]);
+        if overtaken {
+            rig.warm(1);
+        }
+        let (events, ..) = rig.query(0, &[0]);
+        let actions = rig.after(0.55, &events);
+        assert_eq!(!sends(&actions).is_empty(), let_in, "overtaken {overtaken}");
+    }
+}
