Refuse a second request of an open name, honour Expect, one reader for search terms

Found on rereading: two open requests of one name would share part ids on a server's connection and could swap values; the second is now refused at once (test a_second_request_of_an_open_name_is_refused). A cancelled search's connection could be picked again before its task had closed it, and a part cancelled while its connection came up could still be written: the connection is retired with the cancel, and cancels are read first. msearch headers took unknown keys silently; they go through the same reader as the parameters, which names what it does not support. rest_total_hits_as_int was taken and ignored; it is refused now. A probe of a server without a connection told nobody; it is left out. Late connections of a closing program get 0.1 s for their request to follow.

--- a/node/src/backends/opensearch.rs
+++ b/node/src/backends/opensearch.rs
@@ -120,6 +120,8 @@
     let (mut reader, mut writer) = stream.split();
     loop {
         tokio::select! {
+            // Cancels come first: a part that was given up while its connection came up must not be sent.
+            biased;
             // The core is done with this part or with the connection: closing it tells the server.
             () = shared.done() => break,
             command = end.commands.recv() => match command {
--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -22,6 +22,8 @@
 const SLOW: Duration = Duration::from_secs(10);
 /// How long a client may take to read an answer.
 const UNREAD: Duration = Duration::from_secs(5);
+/// How long an idle connection is still read once the program closes.
+const LAST_GRACE: Duration = Duration::from_millis(100);
 /// What a client may send ahead while its answer is made.
 const MOST_AHEAD: usize = 2 * http::MOST_BODY;
 /// Advice where this machine has no connection left, in seconds.
@@ -192,12 +194,24 @@
     buffer: &mut Vec<u8>,
     phase: &mut watch::Receiver<Phase>,
 ) -> Result<Option<http::Request>, http::Bad> {
+    let mut continued = false;
     loop {
         if let Some((request, used)) = http::request(buffer)? {
             buffer.drain(..used);
             return Ok(Some(request));
         }
+        if !continued && http::awaits_continue(buffer) {
+            continued = true;
+            if stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+                return Ok(None);
+            }
+        }
         let idle = buffer.is_empty();
+        // A connection that came late in the closing gets the time for its request to follow.
+        let closing = async {
+            let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+            tokio::time::sleep(LAST_GRACE).await;
+        };
         let patience = if idle { IDLE } else { SLOW };
         tokio::select! {
             biased;
@@ -205,7 +219,7 @@
                 Ok(0) | Err(_) => return Ok(None),
                 Ok(_) => {}
             },
-            _ = phase.wait_for(|phase| *phase == Phase::Closing), if idle => return Ok(None),
+            () = closing, if idle => return Ok(None),
             () = tokio::time::sleep(patience) => return Ok(None),
         }
     }
--- a/node/src/fronts/opensearch.rs
+++ b/node/src/fronts/opensearch.rs
@@ -16,16 +16,19 @@
 const MOST_WINDOW: usize = 10_000;
 /// Most searches in one `_msearch`.
 const MOST_SEARCHES: usize = 64;
-/// Parameters that change nothing here, or only how a reply is laid out, which is free.
-const HARMLESS: [&str; 8] = [
+/// Terms that change nothing here: they lay a reply out, which is free, or steer what one named index has not.
+const HARMLESS: [&str; 11] = [
     "pretty",
     "human",
     "error_trace",
-    "ignore_unavailable",
     "typed_keys",
+    "ignore_unavailable",
+    "allow_no_indices",
+    "expand_wildcards",
+    "ccs_minimize_roundtrips",
+    "request_cache",
     "max_concurrent_searches",
     "pre_filter_shard_size",
-    "rest_total_hits_as_int",
 ];
 
 /// A fault that ends a search before it is asked: status, type, reason.
@@ -54,7 +57,7 @@
 }
 
 /// What a path, its parameters and an `_msearch` header line say of a search.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Terms {
     index: Option<String>,
     preference: Option<String>,
@@ -177,26 +180,35 @@
     for pair in query.split('&').filter(|pair| !pair.is_empty()) {
         let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
         let value = decode(value).ok_or_else(|| illegal(format!("parameter [{name}] is malformed")))?;
+        terms.set(name, value)?;
+    }
+    Ok(terms)
+}
+
+impl Terms {
+    /// Takes in one term, whether a parameter or a key of a header line says it.
+    fn set(&mut self, name: &str, value: String) -> Result<(), Fault> {
         let number =
             || value.parse::<usize>().map_err(|_| illegal(format!("[{name}] is not a whole number")));
         match name {
-            "preference" => terms.preference = Some(value),
-            "timeout" | "cancel_after_time_interval" => tighten(&mut terms.limit, duration(name, &value)?),
-            "allow_partial_search_results" => terms.partial = Some(flag(name, &value)?),
-            "from" => terms.from = Some(number()?),
-            "size" => terms.size = Some(number()?),
-            "q" => terms.q = Some(value),
+            "preference" => self.preference = Some(value),
+            "timeout" | "cancel_after_time_interval" => tighten(&mut self.limit, duration(name, &value)?),
+            "allow_partial_search_results" => self.partial = Some(flag(name, &value)?),
+            "from" => self.from = Some(number()?),
+            "size" => self.size = Some(number()?),
+            "q" => self.q = Some(value),
             "track_total_hits" => {
                 let parsed =
                     serde_json::from_str(&value).ok().filter(|v: &Json| v.is_boolean() || v.is_u64());
-                terms.track_total_hits =
+                self.track_total_hits =
                     Some(parsed.ok_or_else(|| illegal("[track_total_hits] is malformed"))?);
             }
+            "search_type" if value == "query_then_fetch" => {}
             name if HARMLESS.contains(&name) => {}
-            _ => return Err(illegal(format!("parameter [{name}] is not supported"))),
+            _ => return Err(illegal(format!("[{name}] is not supported"))),
         }
+        Ok(())
     }
-    Ok(terms)
 }
 
 /// Undoes percent-encoding; `None` where it is broken.
@@ -343,14 +355,6 @@
     Ok(named.into_iter().collect())
 }
 
-#[derive(Deserialize)]
-struct Header {
-    index: Option<String>,
-    preference: Option<String>,
-    allow_partial_search_results: Option<bool>,
-    cancel_after_time_interval: Option<String>,
-}
-
 /// An `_msearch` body: pairs of lines. A body that isn't is a fault of the whole; a search that is faulty in
 /// itself is one of its own.
 fn read_many(front: &Front, body: &[u8], terms: &Terms) -> Result<Vec<Result<Search, Fault>>, Fault> {
@@ -368,18 +372,22 @@
     let pair = |pair: &[&str]| {
         let blank = pair[0].trim().is_empty();
         let header = if blank { "{}" } else { pair[0] };
-        let header: Header = serde_json::from_str(header).map_err(|e| malformed(format!("a header: {e}")))?;
-        let mut limit = terms.limit;
-        if let Some(text) = &header.cancel_after_time_interval {
-            tighten(&mut limit, duration("cancel_after_time_interval", text)?);
+        let header: Map<String, Json> =
+            serde_json::from_str(header).map_err(|e| malformed(format!("a header: {e}")))?;
+        let mut terms = terms.clone();
+        for (name, value) in header {
+            let value = match value {
+                Json::String(text) => text,
+                Json::Array(_) | Json::Object(_) | Json::Null => {
+                    return Err(illegal(format!("a header: [{name}] must be one value")));
+                }
+                plain => plain.to_string(),
+            };
+            match name.as_str() {
+                "index" => terms.index = Some(value),
+                _ => terms.set(&name, value)?,
+            }
         }
-        let terms = Terms {
-            index: header.index.or_else(|| terms.index.clone()),
-            preference: header.preference.or_else(|| terms.preference.clone()),
-            partial: header.allow_partial_search_results.or(terms.partial),
-            limit,
-            ..Terms::default()
-        };
         read(front, pair[1].as_bytes(), terms)
     };
     Ok(lines.chunks(2).map(pair).collect())
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -253,6 +253,15 @@
     Ok(Some((Request { method, target, fields, body, close }, start + end + used)))
 }
 
+/// Whether a head is there whose client waits for leave to send the body.
+pub fn awaits_continue(input: &[u8]) -> bool {
+    let input = &input[skip_empty_lines(input)..];
+    let Ok(Some(end)) = head_end(input) else { return false };
+    let mut head = &input[..end];
+    let waits = |fields: &Fields| fields.lists("expect", "100-continue");
+    request_line(&mut head).is_ok() && fields(&mut strip_empty_line(head)).is_ok_and(|all| waits(&all))
+}
+
 /// Takes one response off the front of `input`, as [`request`] does. A response without framing lasts until
 /// the connection's end, which `ended` tells.
 pub fn response(input: &[u8], ended: bool, most: usize) -> Result<Option<(Response, usize)>, Bad> {
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -342,6 +342,8 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         link.out.remove(&attempt);
         link.used = now;
+        // A search is cancelled by closing its connection: nothing new may queue there behind the cancel.
+        link.retired |= self.kind == BackendKind::OpenSearch;
         if link.commands.try_send(Command::Cancel(attempt)).is_err() {
             link.end();
         }
@@ -363,14 +365,11 @@
         out
     }
 
-    /// Asks a server for its load report, on a connection that is up.
+    /// Asks a server for its load report, on a connection that is up. Without one it goes unasked: dialling for
+    /// a hint would cost the server more than the hint tells.
     pub fn probe(&mut self, server: ServerId) {
         let mut links = self.links.values().filter(|link| link.server == server && link.up && !link.retired);
-        let sent = links.any(|link| link.commands.try_send(Command::Probe).is_ok());
-        if !sent {
-            let what = What::Probed { outcome: Outcome::Moot, report: Vec::new() };
-            let _ = self.core.try_send(Message::Link(LinkEvent { link: u64::MAX, what }));
-        }
+        links.any(|link| link.commands.try_send(Command::Probe).is_ok());
     }
 
     /// A connection that is not up by now has failed.
--- a/node/src/stages/admit.rs
+++ b/node/src/stages/admit.rs
@@ -10,7 +10,8 @@
     if ask.reply.is_closed() {
         return; // its client left before it was taken in
     }
-    if !book.has_room(ask.request.parts.len()) {
+    // Servers tell parts apart by their request's name: two open ones of one name could swap their values.
+    if !book.has_room(ask.request.parts.len()) || book.holds(&ask.request.name) {
         let retry_after = FULL_ADVICE * route.aim(ask.request.class);
         let _ = ask.reply.send(Answer::Refused { retry_after, busy: true });
         return;
--- a/node/src/stages/book.rs
+++ b/node/src/stages/book.rs
@@ -63,6 +63,11 @@
         self.queries.len() + self.parts.len() + 1 + parts <= self.cap
     }
 
+    /// Whether a request of this name is open.
+    pub fn holds(&self, name: &str) -> bool {
+        self.queries.values().any(|open| *open.request.name == *name)
+    }
+
     /// Opens a request: its id, and its parts' ids.
     pub fn open(&mut self, ask: Ask) -> (RequestId, Vec<(RequestId, PartSpec)>) {
         let id = RequestId(self.next);
--- a/node/tests/serving.rs
+++ b/node/tests/serving.rs
@@ -120,6 +120,13 @@
     assert_eq!((hits["total"]["value"].as_u64(), hits["hits"].as_array().unwrap().len()), (Some(8), 3));
     assert_eq!((hits["max_score"].as_f64(), hits["hits"][0]["_id"].as_str()), (Some(8.0), Some("7")));
     assert_eq!(rig.call(rig.opensearch, "POST /_msearch", &[], body.trim_end()).status, 400);
+    let odd = body.replacen("{\"index\"", "{\"scroll\":\"1m\",\"index\"", 1);
+    let told = rig.call(rig.opensearch, "POST /_msearch", &[], &odd);
+    assert_eq!(
+        told.json["responses"][0]["status"],
+        json!(400),
+        "an unsupported term is its own search's fault"
+    );
 }
 
 #[test]
@@ -171,6 +178,34 @@
     });
 }
 
+#[test]
+fn a_second_request_of_an_open_name_is_refused() {
+    let rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Late(400)), 1000);
+    let statuses: Vec<u16> = thread::scope(|scope| {
+        let ask = || rig.api("same", "stock-search", "2.0", &[1], "~1~").status;
+        let both = [scope.spawn(ask), scope.spawn(ask)];
+        both.into_iter().map(|ask| ask.join().unwrap()).collect()
+    });
+    let mut sorted = statuses;
+    sorted.sort_unstable();
+    assert_eq!(sorted, [200, 429]);
+}
+
+#[test]
+fn a_client_that_waits_for_leave_gets_it() {
+    let rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Serve), 1000);
+    let mut stream = TcpStream::connect(rig.platform).unwrap();
+    let body = json!({"shards": [{"shard": 1, "weight": 1.0}], "q": "~1~"}).to_string();
+    let head = "POST /api HTTP/1.1\r\nX-Request-Id: e\r\nX-Class: stock-search\r\nX-Deadline: 2\r\n";
+    let head = format!("{head}Expect: 100-continue\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut leave = [0; 25];
+    stream.read_exact(&mut leave).unwrap();
+    assert_eq!(&leave, b"HTTP/1.1 100 Continue\r\n\r\n");
+    stream.write_all(body.as_bytes()).unwrap();
+    assert_eq!(response(&mut BufReader::new(stream)).status, 200);
+}
+
 #[test]
 fn an_order_to_stop_is_obeyed_once_all_is_answered() {
     let mut rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Late(300)), 1000);
