--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -195,6 +195,7 @@
     phase: &mut watch::Receiver<Phase>,
 ) -> Result<Option<http::Request>, http::Bad> {
     let mut continued = false;
+    let mut begun = None;
     loop {
         if let Some((request, used)) = http::request(buffer)? {
             buffer.drain(..used);
@@ -212,7 +213,11 @@
             let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
             tokio::time::sleep(LAST_GRACE).await;
         };
-        let patience = if idle { IDLE } else { SLOW };
+        // From its first byte on a request has one span for all of it: bytes that trickle in don't renew it.
+        let end = match idle {
+            true => tokio::time::Instant::now() + IDLE,
+            false => *begun.get_or_insert_with(tokio::time::Instant::now) + SLOW,
+        };
         tokio::select! {
             biased;
             read = stream.read_buf(buffer) => match read {
@@ -220,7 +225,7 @@
                 Ok(_) => {}
             },
             () = closing, if idle => return Ok(None),
-            () = tokio::time::sleep(patience) => return Ok(None),
+            () = tokio::time::sleep_until(end) => return Ok(None),
         }
     }
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -327,6 +327,19 @@
     OpenSearch,
 }
 
+/// Starts all servers; the list's lines for them.
+pub fn members(servers: Wire, stage: &Arc<Stage>) -> Vec<Value> {
+    let member = |number: usize| {
+        let address = match servers {
+            Wire::Platform => frame_server(number, stage.clone()),
+            Wire::OpenSearch => search_server(number, stage.clone()),
+        };
+        json!({"id": format!("s-{number}"), "host_port": address.to_string(), "locality": "a",
+            "flavor": "m", "cell": number as u32 % CELLS, "phase": "active", "size": 1.0, "up_since_ms": 0})
+    };
+    (0..CELLS as usize * REPLICAS).map(member).collect()
+}
+
 /// The program, running, with all that is around it.
 pub struct Rig {
     pub child: Child,
@@ -344,21 +357,17 @@
 impl Rig {
     /// Starts the program before servers that speak `servers` and follow the stage's plan.
     pub fn start(servers: Wire, stage: Arc<Stage>, open_cap: usize) -> Rig {
-        let members: Vec<Value> = (0..CELLS as usize * REPLICAS)
-            .map(|number| {
-                let address = match servers {
-                    Wire::Platform => frame_server(number, stage.clone()),
-                    Wire::OpenSearch => search_server(number, stage.clone()),
-                };
-                json!({"id": format!("s-{number}"), "host_port": address.to_string(), "locality": "a",
-                    "flavor": "m", "cell": number as u32 % CELLS, "phase": "active", "size": 1.0,
-                    "up_since_ms": 0})
-            })
-            .collect();
-        Self::start_with(servers, stage, open_cap, members)
+        let members = members(servers, &stage);
+        Self::start_with(servers, stage, open_cap, 1024, members)
     }
 
-    pub fn start_with(servers: Wire, stage: Arc<Stage>, open_cap: usize, members: Vec<Value>) -> Rig {
+    pub fn start_with(
+        servers: Wire,
+        stage: Arc<Stage>,
+        open_cap: usize,
+        sockets: usize,
+        members: Vec<Value>,
+    ) -> Rig {
         let discovery = Discovery::new(members);
         let number = RIGS.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("cairnroad-test-{}-{number}", std::process::id()));
@@ -380,7 +389,7 @@
             "safety": {"coldFrom": 0.23, "warmUpS": 16.0, "stopSendingWithinS": 0.25, "fallMultiple": 2.5,
                 "fallS": 1.0}});
         let config = json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "settings": settings});
         std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
         let kind = if servers == Wire::Platform { "frames" } else { "opensearch" };
--- a/node/tests/serving.rs
+++ b/node/tests/serving.rs
@@ -154,16 +154,30 @@
 fn a_server_that_refuses_connections_costs_no_answer() {
     let stage = Stage::new(|_, _, _| Act::Serve);
     let dead = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let member = |number: usize, address: String| json!({"id": format!("s{number}"), "host_port": address, "cell": number % 2, "phase": "active"});
-    let mut members: Vec<_> = (0..4).map(|n| member(n, frame_server(n, stage.clone()).to_string())).collect();
-    members[0] = member(0, dead.to_string());
-    let rig = Rig::start_with(Wire::Platform, stage, 1000, members);
+    let mut members = members(Wire::Platform, &stage);
+    members[0]["host_port"] = json!(dead.to_string());
+    let rig = Rig::start_with(Wire::Platform, stage, 1000, 1024, members);
     for number in 0..6 {
         // No connection proves that the part never ran, so even this class goes elsewhere.
         assert_eq!(rig.api(&format!("d{number}"), "pick-confirm", "2.0", &[0, 1], "~1~").status, 200);
     }
 }
 
+#[test]
+fn with_no_connection_to_spare_a_client_is_told_to_come_back() {
+    let stage = Stage::new(|_, _, _| Act::Serve);
+    let members = members(Wire::Platform, &stage);
+    // Half of 64 descriptors are for clients.
+    let rig = Rig::start_with(Wire::Platform, stage, 1000, 64, members);
+    let status = |id: &str| rig.api(id, "stock-search", "2.0", &[1], "~1~");
+    let held: Vec<_> = (0..32).map(|_| TcpStream::connect(rig.platform).unwrap()).collect();
+    let refused = status("a");
+    assert_eq!((refused.status, refused.fields["connection"].as_str()), (503, "close"));
+    assert!(refused.fields.contains_key("retry-after"));
+    drop(held);
+    wait_for("room", || status("b").status == 200);
+}
+
 #[test]
 fn a_client_that_leaves_has_its_parts_cancelled() {
     let rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Silent), 1000);
