--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -206,7 +206,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use super::*;
 
     const SETTINGS: &str = r#"{"classes":[
@@ -225,9 +225,14 @@
         )
     }
 
+    /// A configuration for other modules' tests.
+    pub fn sample() -> Config {
+        read(json(SETTINGS).as_bytes(), "", |_| None).unwrap()
+    }
+
     #[test]
     fn defaults_stand_where_nothing_is_told() {
-        let config = read(json(SETTINGS).as_bytes(), "", |_| None).unwrap();
+        let config = sample();
         assert_eq!((config.seed, config.opensearch, config.backend), (255, None, BackendKind::Frames));
         assert!(config.limits.accepted + config.limits.links + 64 <= DEFAULT_SOCKETS);
         assert_eq!(config.deployment.policy.retry_after, Some(2.0), "refusals always say when to return");
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -418,3 +418,38 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::stages::Text;
+    use cairnroad::RequestId;
+
+    /// Guards against a frame that waits behind a dial and leaves after the grace of its server's drain.
+    #[test]
+    fn a_call_queued_behind_a_dial_is_not_sent_once_its_server_drains() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (to_core, mut messages) = mpsc::channel(16);
+            let clock = Clock::new();
+            let mut pool = Pool::new(&crate::config::tests::sample(), clock.clone(), to_core);
+            let address = listener.local_addr().unwrap();
+            let list = |state| {
+                let row = Row { id: "s".into(), address, cell: 0, state, size: 1.0, ready_at: None };
+                vec![(ServerId(0), row)]
+            };
+            let attempt = Attempt { part: RequestId(2), number: 0 };
+            let (name, class) = ("q".into(), "c".into());
+            let (text, until) = (Text::Plain("t".into()), clock.now() + 1.0);
+            pool.note_list(&list(ServerState::Ready), true);
+            pool.stage(ServerId(0), Job { attempt, name, class, shard: 0, text, until });
+            let (failed, dials) = pool.flush(clock.now());
+            assert_eq!((failed.len(), dials.len()), (0, 1));
+            pool.note_list(&list(ServerState::Draining), false);
+            let Some(Message::Link(event)) = messages.recv().await else { panic!("no outcome") };
+            let Some(Brought::Attempt(ended)) = pool.note(clock.now(), event) else { panic!("no attempt") };
+            assert_eq!((ended.attempt, ended.outcome), (attempt, Outcome::ConnectFailed));
+        });
+    }
+}
--- a/node/src/stages/mod.rs
+++ b/node/src/stages/mod.rs
@@ -361,3 +361,17 @@
     Attempt(Ended),
     Probe { server: ServerId, outcome: Outcome, report: Vec<f64> },
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_read_after_a_stall_may_have_come_at_its_start() {
+        let clock = Clock::new();
+        clock.beat();
+        let before = clock.now();
+        std::thread::sleep(Duration::from_millis(60));
+        assert!(clock.earliest_arrival() <= before, "no beat for 60 ms");
+    }
+}
