--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -28,6 +28,24 @@
     /// What its clients may name.
     pub indices: Vec<Index>,
     pub backend: BackendKind,
+    /// The settings as they were read, to tell whether another file's differ.
+    settings: Box<str>,
+}
+
+impl Config {
+    /// The keys that another file says differently and that take effect only at a restart. `discovery` takes
+    /// effect live; `seed` and `known` belong to a start.
+    pub fn needs_restart(&self, other: &Config) -> Vec<&'static str> {
+        let keys = [
+            ("name", self.name != other.name),
+            ("listen", self.listen != other.listen),
+            ("limits", self.limits != other.limits),
+            ("settings", self.settings != other.settings),
+            ("opensearch", self.opensearch != other.opensearch || self.indices != other.indices),
+            ("backend", self.backend != other.backend),
+        ];
+        keys.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect()
+    }
 }
 
 /// An index of the query API: a class of query over a range of shards.
@@ -40,7 +58,7 @@
 }
 
 /// Shares of the descriptors and of memory, worked out once.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
     /// Client connections that are served; more are told to come back.
     pub clients: usize,
@@ -180,6 +198,7 @@
         opensearch,
         indices,
         backend: own.backend.kind,
+        settings: json.settings.get().into(),
     })
 }
 
@@ -238,6 +257,15 @@
         assert_eq!(config.deployment.policy.retry_after, Some(2.0), "refusals always say when to return");
     }
 
+    #[test]
+    fn what_takes_a_restart_is_named() {
+        let read = |text: String| read(text.as_bytes(), "", |_| None).unwrap();
+        let (old, text) = (sample(), json(SETTINGS));
+        assert!(old.needs_restart(&read(text.replace("127.0.0.1:1", "127.0.0.1:2"))).is_empty());
+        assert_eq!(old.needs_restart(&read(text.replace("\"n1\"", "\"n2\""))), ["name"]);
+        assert_eq!(old.needs_restart(&read(text.replace("0.005", "0.01"))), ["settings"]);
+    }
+
     #[test]
     fn what_is_wrong_is_named() {
         let fault = |json: String, own: &str| read(json.as_bytes(), own, |_| None).unwrap_err();
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// How long one watch call may wait. Short, so that a watch whose answer was lost is soon renewed.
 const HOLD_MS: u64 = 5_000;
@@ -123,23 +123,43 @@
     }
 }
 
-/// Watches the agent for good and tells the core what it says.
-pub async fn watch(agent: SocketAddr, core: mpsc::Sender<Message>) {
+/// Watches the agent for good and tells the core what it says. A new address drops the call that is held at the
+/// old one, or the pause before the next: the old agent may say nothing more, and another agent's revisions are
+/// its own, so the watch starts over there with the whole list.
+pub async fn watch(mut agents: watch::Receiver<SocketAddr>, core: mpsc::Sender<Message>) {
     let mut revision = None;
     let mut faults = 0u32;
     loop {
-        if let Err(text) = follow(agent, &core, &mut revision, &mut faults).await {
-            faults += 1;
-            log!("discovery: {text}");
+        let agent = *agents.borrow_and_update();
+        let moved = tokio::select! {
+            biased;
+            Ok(()) = agents.changed() => true,
+            () = follow_on(agent, &core, &mut revision, &mut faults) => false,
+        };
+        if moved {
+            (revision, faults) = (None, 0);
         }
         if core.is_closed() {
             return;
         }
-        // A first fault is tried again at once: the watch must go on within 200 ms.
-        tokio::time::sleep(PAUSE * faults.min(10)).await;
     }
 }
 
+/// One connection, and the pause after it.
+async fn follow_on(
+    agent: SocketAddr,
+    core: &mpsc::Sender<Message>,
+    revision: &mut Option<u64>,
+    faults: &mut u32,
+) {
+    if let Err(text) = follow(agent, core, revision, faults).await {
+        *faults += 1;
+        log!("discovery: {text}");
+    }
+    // A first fault is tried again at once: the watch must go on within 200 ms.
+    tokio::time::sleep(PAUSE * (*faults).min(10)).await;
+}
+
 /// One connection's life: call after call, each started as soon as the last answer is read.
 async fn follow(
     agent: SocketAddr,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -16,11 +16,12 @@
 use fronts::{Front, Kind};
 use stages::{Clock, Core, Phase};
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 
 /// Messages from connections and discovery that may wait for the core's next tick.
@@ -33,7 +34,7 @@
 
 fn main() -> ExitCode {
     let run = || -> Result<(), String> {
-        let config = config::load(|name| std::env::var(name).ok())?;
+        let config = config::load(variable)?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
         tokio::task::LocalSet::new().block_on(&runtime, serve(config))
@@ -47,8 +48,34 @@
     }
 }
 
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+/// Rereads the configuration at each SIGHUP, whose default action would end the program, and passes on what
+/// takes effect live. A faulty file changes nothing.
+async fn reload(mut hangups: Signal, mut config: config::Config, agent: watch::Sender<SocketAddr>) {
+    while hangups.recv().await.is_some() {
+        let fresh = match config::load(variable) {
+            Ok(fresh) => fresh,
+            Err(text) => {
+                log!("reload: {text}; the old settings stay");
+                continue;
+            }
+        };
+        let waiting = config.needs_restart(&fresh);
+        if !waiting.is_empty() {
+            log!("reload: {} changed, which takes a restart", waiting.join(", "));
+        }
+        log!("reload: discovery at {}", fresh.discovery);
+        config.discovery = fresh.discovery;
+        agent.send_if_modified(|address| std::mem::replace(address, fresh.discovery) != fresh.discovery);
+    }
+}
+
 async fn serve(config: config::Config) -> Result<(), String> {
     let mut stop = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let hangups = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let clock = Clock::new();
     let (asks, asked) = mpsc::channel(stages::intake::QUEUE);
     let (to_core, messages) = mpsc::channel(MESSAGES);
@@ -82,8 +109,10 @@
         tokio::task::spawn_local(fronts::listen(listener, Rc::new(front)));
     }
     let core = Core::new(&config, clock.clone(), asked, (to_core.clone(), messages), phase.clone());
-    tokio::task::spawn_local(discovery::watch(config.discovery, to_core));
+    let (agent, agents) = watch::channel(config.discovery);
+    tokio::task::spawn_local(discovery::watch(agents, to_core));
     let core = tokio::task::spawn_local(core.run(config.deployment.policy.tick));
+    tokio::task::spawn_local(reload(hangups, config, agent));
     tokio::select! {
         _ = stop.recv() => {}
         end = core => return Err(format!("the core ended: {end:?}")),
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -292,6 +292,11 @@
         Discovery { address, state, calls }
     }
 
+    /// The lines of its list.
+    pub fn members(&self) -> Vec<Value> {
+        self.state.0.lock().unwrap().1.clone()
+    }
+
     fn connection(mut stream: TcpStream, state: &List, calls: &Mutex<Vec<String>>) -> Option<()> {
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         loop {
@@ -444,9 +449,24 @@
         self.call(self.opensearch, &format!("POST {target}"), &[], &body)
     }
 
-    pub fn signal_stop(&self) {
-        let stop = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
-        assert!(stop.unwrap().success());
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// Replaces the configuration's file and has the program reread it.
+    pub fn reconfigure(&self, change: impl FnOnce(&mut Value)) {
+        let path = self.folder.join("config.json");
+        let mut config = serde_json::from_slice(&std::fs::read(&path).unwrap()).unwrap();
+        change(&mut config);
+        std::fs::write(&path, config.to_string()).unwrap();
+        self.signal("HUP");
+    }
+
+    /// Waits for a line of the log that holds these words.
+    pub fn wait_for_line(&self, words: &str) {
+        let log = self.log.lock().unwrap();
+        while !log.recv_timeout(Duration::from_secs(20)).expect(words).contains(words) {}
     }
 }
 
--- a/node/tests/serving.rs
+++ b/node/tests/serving.rs
@@ -219,6 +219,43 @@
     assert_eq!(response(&mut BufReader::new(stream)).status, 200);
 }
 
+/// Guards against SIGHUP's default action, which ends the program, and a watch that stays at the old agent.
+#[test]
+fn a_new_configuration_moves_the_watch_and_nobody_else_notices() {
+    let mut rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Late(700)), 1000);
+    let second = Discovery::new(rig.discovery.members());
+    let third = Discovery::new(rig.discovery.members());
+    thread::scope(|scope| {
+        let open = scope.spawn(|| rig.api("open", "pick-confirm", "2.5", &[1, 2], "~1~").status);
+        wait_for("the parts", || rig.stage.seen.lock().unwrap().len() == 2);
+        rig.reconfigure(|config| config["discovery"] = json!(second.address.to_string()));
+        wait_for("the whole list", || !second.calls.lock().unwrap().is_empty());
+        assert_eq!(open.join().unwrap(), 200, "what was open is answered");
+    });
+    assert_eq!(second.calls.lock().unwrap()[0], "GET /catalog/members HTTP/1.1");
+    rig.reconfigure(|config| config["discovery"] = json!("nowhere"));
+    rig.wait_for_line("'discovery': 'nowhere'");
+    // The old settings stand: what the second agent says still counts, and the first is not heard any more.
+    let before = rig.discovery.calls.lock().unwrap().len();
+    let watches = second.calls.lock().unwrap().len();
+    for server in 0..second.members().len() {
+        second.set_phase(server, "leaving");
+    }
+    wait_for("the next watch", || second.calls.lock().unwrap().len() > watches);
+    let mut names = 0..;
+    let mut status =
+        || rig.api(&format!("n{}", names.next().unwrap()), "pick-confirm", "2.5", &[1], "~2~").status;
+    wait_for("the drains", || status() == 429);
+    // And again, with an order to stop right behind.
+    rig.reconfigure(|config| config["discovery"] = json!(third.address.to_string()));
+    wait_for("the whole list", || !third.calls.lock().unwrap().is_empty());
+    wait_for("the servers", || status() == 200);
+    assert_eq!(rig.discovery.calls.lock().unwrap().len(), before);
+    rig.signal("TERM");
+    rig.signal("HUP");
+    assert!(rig.child.wait().unwrap().success());
+}
+
 #[test]
 fn an_order_to_stop_is_obeyed_once_all_is_answered() {
     let mut rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Late(1000)), 1000);
@@ -232,7 +269,7 @@
     let mut early = TcpStream::connect(rig.platform).unwrap();
     ask(&mut early, "early");
     wait_for("the part", || !rig.stage.seen.lock().unwrap().is_empty());
-    rig.signal_stop();
+    rig.signal("TERM");
     wait_for("the order", || rig.call(rig.platform, "GET /_health", &[], "").status == 503);
     let mut late = TcpStream::connect(rig.platform).unwrap();
     ask(&mut late, "late");
