--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -60,7 +60,8 @@
 /// Shares of the descriptors and of memory, worked out once.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
-    /// Client connections that are served; more are told to come back.
+    /// Client connections that may have a request open; more are told to come back. Over this number, idle ones
+    /// are closed to make room.
     pub clients: usize,
     /// Client connections that are accepted at all.
     pub accepted: usize,
@@ -74,7 +75,7 @@
     fn new(memory_mb: u64, sockets: usize) -> Limits {
         let by_memory = (memory_mb as usize).saturating_mul(1024) / 160 / 2;
         let clients = (sockets / 2).min(by_memory).max(8);
-        Limits { clients, accepted: clients + sockets / 8, links: (sockets / 4).max(8) }
+        Limits { clients, accepted: sockets / 2 + sockets / 8, links: (sockets / 4).max(8) }
     }
 }
 
--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -2,30 +2,44 @@
 //! the listener, the life of a client's connection, and the watch for a client that goes away.
 
 pub mod opensearch;
+pub mod places;
 pub mod platform;
 
 use crate::config::{Index, Limits};
 use crate::http;
 use crate::log;
 use crate::stages::{intake, Answer, Ask, Clock, Phase, Request};
-use cairnroad::Time;
 use cairnroad_settings::Deployment;
+use places::{Place, Places};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
-/// How long a client's connection may stand idle, and how long a request may take to come in.
-const IDLE: Duration = Duration::from_secs(75);
-const SLOW: Duration = Duration::from_secs(10);
+/// How long a connection may idle between two requests. Clients that stay for good would take up all places;
+/// one that comes back later pays for a new connection.
+const IDLE: Duration = Duration::from_secs(5);
+/// How long a request may take to come in, from its first byte; for a connection's first request, from the start
+/// of the connection. A client that says nothing, or half of something, is owed an end within 3 s of connecting,
+/// and it may have lain unaccepted for some of that.
+const SLOW: Duration = Duration::from_secs(2);
+/// How long a client that still sends is read after its answer, so that the answer isn't cut off by a reset. The
+/// end is owed within 6 s where 60 MB come.
+const LINGER: Duration = Duration::from_millis(2500);
+/// What is dropped of it at a go, and the pause after that: a flood of bytes must not take the whole core.
+const DROPPED: usize = 256 * 1024;
+const DROP_PAUSE: Duration = Duration::from_millis(5);
 /// How long a client may take to read an answer.
 const UNREAD: Duration = Duration::from_secs(5);
 /// How long an idle connection is still read once the program closes.
 const LAST_GRACE: Duration = Duration::from_millis(100);
-/// What a client may send ahead while its answer is made.
-const MOST_AHEAD: usize = 2 * http::MOST_BODY;
+/// What a client may send ahead while its answer is made. Clients send one request at a time.
+const MOST_AHEAD: usize = 16 * 1024;
+/// A buffer of more is given back when its connection idles.
+const KEPT_BUFFER: usize = 4 * 1024;
 /// Advice where this machine has no connection left, in seconds.
 pub const CROWDED_ADVICE: f64 = 1.0;
 
@@ -36,9 +50,8 @@
     pub clock: Clock,
     pub phase: watch::Receiver<Phase>,
     pub limits: Limits,
-    /// Open connections of all fronts, and when the last one came.
-    pub open: Rc<Cell<usize>>,
-    pub last: Rc<Cell<Time>>,
+    /// Where the connections of all fronts are counted.
+    pub places: Rc<Places>,
     pub kind: Kind,
     /// Names for requests that bring none.
     pub names: Cell<u64>,
@@ -120,18 +133,19 @@
 pub async fn listen(listener: TcpListener, front: Rc<Front>) {
     loop {
         // At the hard limit nobody is accepted: what waits in the backlog is taken once one leaves.
-        while front.open.get() >= front.limits.accepted {
-            tokio::time::sleep(Duration::from_millis(5)).await;
+        while front.places.open() >= front.limits.accepted {
+            front.places.make_room(front.clock.now());
+            tokio::time::sleep(Duration::from_millis(1)).await;
         }
         match listener.accept().await {
             Ok((stream, _)) => {
-                front.open.set(front.open.get() + 1);
-                front.last.set(front.clock.now());
+                let now = front.clock.now();
+                let place = front.places.take(now);
+                if front.places.open() > front.limits.clients {
+                    front.places.make_room(now);
+                }
                 let front = front.clone();
-                tokio::task::spawn_local(async move {
-                    serve(stream, &front).await;
-                    front.open.set(front.open.get() - 1);
-                });
+                tokio::task::spawn_local(async move { serve(stream, &front, place).await });
             }
             Err(e) => {
                 log!("accept: {e}");
@@ -142,23 +156,22 @@
 }
 
 /// A connection's life: one request after another.
-async fn serve(mut stream: TcpStream, front: &Front) {
+async fn serve(mut stream: TcpStream, front: &Front, place: Place) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
-    let mut phase = front.phase.clone();
+    let mut first = Some(Instant::now() + SLOW);
     loop {
-        let request = match next(&mut stream, &mut buffer, &mut phase).await {
+        let request = match next(front, &mut stream, &mut buffer, &place, first.take()).await {
             Ok(Some(request)) => request,
             Ok(None) => return,
             Err(bad) => {
                 let reply = refusal_of(front, bad.status(), bad.text());
                 let _ = write(&mut stream, reply, true).await;
-                // Closing with bytes unread would reset the connection under the answer.
-                return linger(&mut stream).await;
+                return linger(front, &mut stream, &place).await;
             }
         };
         let arrived = front.clock.earliest_arrival();
-        let crowded = front.open.get() > front.limits.clients;
+        let crowded = front.places.busy() > front.limits.clients;
         let asked_to_close = request.close;
         let mut exchange = Exchange { front, stream: &mut stream, buffer: &mut buffer };
         let path = request.target.split('?').next().unwrap_or("");
@@ -171,7 +184,14 @@
         };
         let Ok(reply) = reply else { return };
         let close = asked_to_close || crowded || stopping(*front.phase.borrow());
-        if !write(&mut stream, reply, close).await || close {
+        if !write(&mut stream, reply, close).await {
+            return;
+        }
+        if close {
+            // Closing with bytes unread would reset the connection under the answer.
+            if crowded || !buffer.is_empty() {
+                linger(front, &mut stream, &place).await;
+            }
             return;
         }
     }
@@ -188,16 +208,21 @@
     matches!(phase, Phase::Stopping | Phase::Closing)
 }
 
-/// The connection's next request; `None` at its end, or where it idles too long or the program closes.
+/// The connection's next request; `None` at its end, or where it idles too long, its place is needed or the
+/// program closes. A first request has until `first` to come in.
 async fn next(
+    front: &Front,
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
-    phase: &mut watch::Receiver<Phase>,
+    place: &Place,
+    first: Option<Instant>,
 ) -> Result<Option<http::Request>, http::Bad> {
+    let mut phase = front.phase.clone();
     let mut continued = false;
-    let mut begun = None;
+    let (mut begun, rest) = (None, Instant::now() + IDLE);
     loop {
         if let Some((request, used)) = http::request(buffer)? {
+            place.busy();
             buffer.drain(..used);
             return Ok(Some(request));
         }
@@ -208,16 +233,22 @@
             }
         }
         let idle = buffer.is_empty();
+        if idle {
+            buffer.shrink_to(KEPT_BUFFER);
+            place.idle(front.clock.now());
+        } else {
+            place.busy();
+        }
         // A connection that came late in the closing gets the time for its request to follow.
         let closing = async {
             let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
             tokio::time::sleep(LAST_GRACE).await;
         };
         // From its first byte on a request has one span for all of it: bytes that trickle in don't renew it.
-        let end = match idle {
-            true => tokio::time::Instant::now() + IDLE,
-            false => *begun.get_or_insert_with(tokio::time::Instant::now) + SLOW,
-        };
+        let end = first.unwrap_or_else(|| match idle {
+            true => rest,
+            false => *begun.get_or_insert_with(Instant::now) + SLOW,
+        });
         tokio::select! {
             biased;
             read = stream.read_buf(buffer) => match read {
@@ -225,7 +256,17 @@
                 Ok(_) => {}
             },
             () = closing, if idle => return Ok(None),
-            () = tokio::time::sleep_until(end) => return Ok(None),
+            () = tokio::time::sleep_until(end) => match idle {
+                true => return Ok(None),
+                false => return Err(http::Bad::TooSlow),
+            },
+            () = place.needed(), if idle => {
+                // A request that is there already is served first.
+                tokio::task::yield_now().await;
+                if !matches!(stream.try_read_buf(buffer), Ok(bytes) if bytes > 0) {
+                    return Ok(None);
+                }
+            }
         }
     }
 }
@@ -235,12 +276,29 @@
     matches!(tokio::time::timeout(UNREAD, stream.write_all(&bytes)).await, Ok(Ok(())))
 }
 
-/// Reads and drops what a client still sends, for a short while.
-async fn linger(stream: &mut TcpStream) {
+/// Reads and drops what a client still sends, for a while or until its place is needed: closing with bytes unread
+/// would reset the connection under the answer.
+async fn linger(front: &Front, stream: &mut TcpStream, place: &Place) {
     let _ = stream.shutdown().await;
-    let mut dropped = [0; 4096];
-    let drain = async { while matches!(stream.read(&mut dropped).await, Ok(n) if n > 0) {} };
-    let _ = tokio::time::timeout(Duration::from_millis(500), drain).await;
+    place.idle(front.clock.now());
+    let drain = async {
+        let mut dropped = vec![0; 16 * 1024];
+        loop {
+            let mut left = DROPPED;
+            while left > 0 {
+                match stream.read(&mut dropped).await {
+                    Ok(bytes) if bytes > 0 => left = left.saturating_sub(bytes),
+                    _ => return,
+                }
+            }
+            tokio::time::sleep(DROP_PAUSE).await;
+        }
+    };
+    tokio::select! {
+        () = drain => {}
+        () = place.needed() => {}
+        () = tokio::time::sleep(LINGER) => {}
+    }
 }
 
 /// `GET /_health`, the same on both fronts: 200 only while the program is ready to serve.
--- /dev/null
+++ b/node/src/fronts/places.rs
@@ -0,0 +1,120 @@
+//! The places that client connections take up, of all fronts together. One that idles is told to leave when its
+//! place is needed, so that clients who ask nothing don't keep out those who do.
+
+use cairnroad::Time;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// A connection that idles for less isn't told to leave: its request may be on its way.
+const YOUNG: f64 = 0.25;
+
+/// Who waits for a request, the longest idle first.
+type Idle = BTreeMap<(Time, u64), Rc<Notify>>;
+
+#[derive(Default)]
+pub struct Places {
+    open: Cell<usize>,
+    /// When the last connection came.
+    last: Cell<Time>,
+    next: Cell<u64>,
+    idle: RefCell<Idle>,
+}
+
+impl Places {
+    pub fn take(self: &Rc<Self>, now: Time) -> Place {
+        self.open.set(self.open.get() + 1);
+        self.last.set(now);
+        let id = self.next.replace(self.next.get() + 1);
+        Place { places: self.clone(), id, idle_since: Cell::new(None), leave: Rc::default() }
+    }
+
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    pub fn last(&self) -> Time {
+        self.last.get()
+    }
+
+    /// Connections that have a request open or coming in.
+    pub fn busy(&self) -> usize {
+        self.open.get() - self.idle.borrow().len()
+    }
+
+    /// Tells the connection that has been idle for longest to leave; whether there was one.
+    pub fn make_room(&self, now: Time) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        match idle.first_entry() {
+            Some(longest) if now - longest.key().0 >= YOUNG => {
+                longest.remove().notify_one();
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+/// One connection's place, given back when it is dropped.
+pub struct Place {
+    places: Rc<Places>,
+    id: u64,
+    idle_since: Cell<Option<Time>>,
+    leave: Rc<Notify>,
+}
+
+impl Place {
+    /// From `now` on the connection waits, until it is busy again.
+    pub fn idle(&self, now: Time) {
+        if self.idle_since.get().is_none() {
+            self.idle_since.set(Some(now));
+            self.places.idle.borrow_mut().insert((now, self.id), self.leave.clone());
+        }
+    }
+
+    pub fn busy(&self) {
+        if let Some(since) = self.idle_since.take() {
+            self.places.idle.borrow_mut().remove(&(since, self.id));
+        }
+    }
+
+    /// Resolves once the place is needed.
+    pub async fn needed(&self) {
+        self.leave.notified().await;
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.busy();
+        self.places.open.set(self.places.open.get() - 1);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_longest_idle_leaves_first_and_neither_the_young_nor_the_busy() {
+        let places = Rc::new(Places::default());
+        let at = Time::from_secs;
+        let held: Vec<Place> = (0..4).map(|n| places.take(at(f64::from(n)))).collect();
+        assert!(!places.make_room(at(9.0)), "nobody idles");
+        for (place, since) in held.iter().zip([3.0, 1.0, 2.0, 9.0]) {
+            place.idle(at(since));
+        }
+        held[1].busy();
+        assert_eq!((places.open(), places.busy(), places.last()), (4, 1, at(3.0)));
+        let left = |now: f64| {
+            places.make_room(at(now));
+            let idle = places.idle.borrow();
+            idle.keys().map(|(_, id)| *id).collect::<Vec<_>>()
+        };
+        assert_eq!((left(9.1), left(9.1), left(9.1)), (vec![0, 3], vec![3], vec![3]));
+        assert_eq!(left(9.3), Vec::<u64>::new());
+        drop(held);
+        assert_eq!((places.open(), places.busy()), (0, 0));
+    }
+}
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -13,6 +13,8 @@
 const MOST_FIELDS: usize = 100;
 /// The largest body of a request, as the platform states it.
 pub const MOST_BODY: usize = 64 * 1024;
+/// The most bytes that a request may take, its chunks' framing included.
+const MOST_MESSAGE: usize = MOST_HEAD + 4 * MOST_BODY;
 
 /// Why a message can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,6 +22,8 @@
     Malformed(&'static str),
     HeadTooLarge,
     BodyTooLarge,
+    /// It did not come in within its time.
+    TooSlow,
 }
 
 impl Bad {
@@ -29,6 +33,7 @@
             Bad::Malformed(_) => 400,
             Bad::HeadTooLarge => 431,
             Bad::BodyTooLarge => 413,
+            Bad::TooSlow => 408,
         }
     }
     pub fn text(self) -> &'static str {
@@ -36,6 +41,7 @@
             Bad::Malformed(text) => text,
             Bad::HeadTooLarge => "the head is too large",
             Bad::BodyTooLarge => "the body is too large",
+            Bad::TooSlow => "the request did not come in time",
         }
     }
 }
@@ -169,8 +175,10 @@
 fn framing(fields: &Fields, most: usize) -> Result<Framing, Bad> {
     let coded = fields.get("transfer-encoding").is_some();
     if coded {
+        // Any other coding beside it would leave a body that nobody here can read.
+        let mut codings = fields.all("transfer-encoding");
         let only =
-            fields.all("transfer-encoding").count() == 1 && fields.lists("transfer-encoding", "chunked");
+            codings.next().is_some_and(|c| c.eq_ignore_ascii_case("chunked")) && codings.next().is_none();
         // Both framings at once are how requests are smuggled past another reader.
         if !only || fields.get("content-length").is_some() {
             return Err(Bad::Malformed("the body's framing is unclear"));
@@ -246,6 +254,8 @@
         Framing::Length(length) => (input[end..end + length].to_vec(), length),
         Framing::Chunked => match chunks(&input[end..], MOST_BODY)? {
             Some(found) => found,
+            // Chunks of a byte or two, or extensions without end, must not fill the buffer either.
+            None if input.len() > MOST_MESSAGE => return Err(Bad::BodyTooLarge),
             None => return Ok(None),
         },
     };
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -81,7 +81,7 @@
     let (to_core, messages) = mpsc::channel(MESSAGES);
     let (phase, phases) = watch::channel(Phase::Starting);
     let phase = Rc::new(phase);
-    let (open, last) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(clock.now())));
+    let places = Rc::new(fronts::places::Places::default());
     let deployment = Rc::new(config.deployment.clone());
     let indices = Rc::new(config.indices.clone());
     let addresses = [(Some(config.listen), Kind::Platform), (config.opensearch, Kind::OpenSearch)];
@@ -100,8 +100,7 @@
             clock: clock.clone(),
             phase: phases.clone(),
             limits: config.limits,
-            open: open.clone(),
-            last: last.clone(),
+            places: places.clone(),
             kind,
             names: Cell::new(config.seed),
             indices: indices.clone(),
@@ -122,7 +121,7 @@
     tokio::time::sleep(CLOSE_IDLE).await;
     phase.send_replace(Phase::Closing);
     tokio::time::sleep(EARLIEST_END).await;
-    while open.get() > 0 || clock.now() - last.get() < QUIET {
+    while places.open() > 0 || clock.now() - places.last() < QUIET {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     Ok(())
--- a/node/src/parser_tests.rs
+++ b/node/src/parser_tests.rs
@@ -52,6 +52,10 @@
     assert_eq!(status(&format!("{head}Content-Length: 70000\r\n\r\n")), 413);
     assert_eq!(status(&format!("{head}Transfer-Encoding: chunked\r\n\r\n11170\r\n")), 413);
     assert_eq!(status(&format!("{head}Transfer-Encoding: chunked\r\n\r\nzz\r\n")), 400);
+    assert_eq!(status(&format!("{head}Transfer-Encoding: gzip, chunked\r\n\r\n")), 400);
+    // The framing of small chunks counts too: the buffer is bounded, not only the body.
+    let small = "1;extension=of some length\r\nx\r\n".repeat(10_000);
+    assert_eq!(status(&format!("{head}Transfer-Encoding: chunked\r\n\r\n{small}")), 413);
     assert_eq!(status(&format!("{head}A: {}\r\n", "b".repeat(20_000))), 431);
     assert_eq!(status("POST /\r\n\r\n"), 400);
 }
