--- a/node/src/backends/frames.rs
+++ b/node/src/backends/frames.rs
@@ -1,19 +1,28 @@
 //! The platform's frames: length, letter, rest.
 
+use crate::http;
 use crate::log;
 use crate::pool::{Command, LinkEnd, What};
 use crate::stages::{Attempt, Job, Value};
 use cairnroad::{Outcome, Time};
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::Instant;
 use winnow::binary::be_u32;
 use winnow::combinator::terminated;
 use winnow::error::{ContextError, ErrMode};
 use winnow::token::{literal, take_till};
 use winnow::Parser;
 
-/// The longest frame that is read.
-const MOST_FRAME: u32 = 1024 * 1024;
+/// The longest line of an answer, and the longest frame. A value is passed on in a body, which has a limit.
+const MOST_LINE: usize = 1024;
+const MOST_FRAME: u32 = (http::MOST_BODY + MOST_LINE) as u32;
+/// How long a frame may take to come in whole once it has begun. Servers write theirs in one go; one that stands
+/// still for longer has a length that doesn't fit, and the part that it was for would wait for its time-out.
+const HALF_FRAME: Duration = Duration::from_millis(300);
+/// Cancelled parts of a connection that may still be answered. Far more than a connection carries at a time.
+const MOST_CANCELLED: usize = 512;
 
 /// Commands that may wait for the frames before them.
 const MOST_PENDING: usize = 64;
@@ -21,9 +30,9 @@
 /// A frame from a server.
 #[derive(Debug, PartialEq)]
 pub enum Frame<'a> {
-    Answer { id: &'a str, end: &'a str, report: &'a str, value: &'a [u8] },
+    Answer { id: &'a str, end: &'a str, report: &'a [u8], value: &'a [u8] },
     Ping,
-    Load(&'a str),
+    Load(&'a [u8]),
     Complaint(String),
 }
 
@@ -39,15 +48,22 @@
     if length == 0 || length > MOST_FRAME {
         return Err("a frame's length is out of bounds");
     }
+    // What shows at its beginning that it can't be read isn't waited for.
+    match rest {
+        [b'A', line @ ..] if line.len() > MOST_LINE && !line[..MOST_LINE].contains(&b'\n') => {
+            return Err("an answer's line doesn't end")
+        }
+        [b'A' | b'P' | b'L' | b'E', ..] | [] => {}
+        _ => return Err("a frame's letter is unknown"),
+    }
     let Some(frame) = rest.get(..length as usize) else { return Ok(None) };
     let used = 4 + frame.len();
     let (letter, mut body) = (frame[0], &frame[1..]);
     let frame = match letter {
         b'A' => answer(&mut body).map_err(|_| "an answer frame is malformed")?,
         b'P' => Frame::Ping,
-        b'L' => Frame::Load(std::str::from_utf8(body).map_err(|_| "a load report is malformed")?),
-        b'E' => Frame::Complaint(String::from_utf8_lossy(body).into_owned()),
-        _ => return Err("a frame's letter is unknown"),
+        b'L' => Frame::Load(body),
+        _ => Frame::Complaint(String::from_utf8_lossy(body).into_owned()),
     };
     Ok(Some((frame, used)))
 }
@@ -60,7 +76,8 @@
     let id = terminated(word, literal(" ")).parse_next(input)?;
     let end = terminated(word, literal(" ")).parse_next(input)?;
     let _score = terminated(word, literal(" ")).parse_next(input)?;
-    let report = terminated(word, literal("\n")).parse_next(input)?;
+    // A report that can't be read is lost; the value isn't.
+    let report = terminated(take_till(0.., b'\n'), literal("\n")).parse_next(input)?;
     Ok(Frame::Answer { id, end, report, value: input })
 }
 
@@ -95,12 +112,13 @@
     frame
 }
 
-/// What an answer's end word means.
-fn outcome(end: &str) -> Outcome {
+/// What an answer's end word means, if it is one.
+fn outcome(end: &str) -> Option<Outcome> {
     match end {
-        "ok" => Outcome::Ok,
-        "busy" => Outcome::Full,
-        _ => Outcome::Error,
+        "ok" => Some(Outcome::Ok),
+        "busy" => Some(Outcome::Full),
+        "err" => Some(Outcome::Error),
+        _ => None,
     }
 }
 
@@ -116,7 +134,13 @@
     /// Parts whose frame is written whole, by their ids on this wire.
     out: BTreeMap<String, Attempt>,
     names: BTreeMap<Attempt, String>,
+    /// Ids of parts that were cancelled, the latest last: a late answer to one is no fault of the server.
+    cancelled: VecDeque<String>,
+    /// The id that was answered last: a second copy of that answer is told from one to a part never sent.
+    answered: String,
     probes: u32,
+    /// Bytes came that belong to nothing: what comes next can't be trusted, so nothing new is written.
+    spent: bool,
 }
 
 impl Wire {
@@ -142,13 +166,25 @@
         self.pending.push_back(command);
     }
 
+    /// Whether a call may not be written any more, as an outcome that says it never ran: its server drains or is
+    /// gone, or the connection is spent or has begun to bring something with nothing out.
+    fn bar(&self, end: &LinkEnd, unread: bool) -> Option<Outcome> {
+        if end.barred() {
+            return Some(Outcome::ConnectFailed);
+        }
+        (self.spent || unread && self.out.is_empty() && self.probes == 0).then_some(Outcome::Moot)
+    }
+
     /// The next frame, once the one before it is written. Parts that may not be written any more are returned.
-    fn load(&mut self, end: &LinkEnd) -> Vec<Job> {
+    fn load(&mut self, end: &LinkEnd, unread: bool) -> Vec<(Job, Outcome)> {
         let mut barred = Vec::new();
         while self.frame.is_empty() {
             match self.pending.pop_front() {
                 None => break,
-                Some(Command::Call(jobs)) if end.barred() => barred.extend(jobs),
+                Some(Command::Call(jobs)) if self.bar(end, unread).is_some() => {
+                    let outcome = self.bar(end, unread).unwrap_or(Outcome::Moot);
+                    barred.extend(jobs.into_iter().map(|job| (job, outcome)));
+                }
                 Some(Command::Call(jobs)) => {
                     if !jobs.is_empty() {
                         self.frame = call(&jobs, end.clock.now());
@@ -158,6 +194,10 @@
                 Some(Command::Cancel(attempt)) => {
                     if let Some(name) = self.names.remove(&attempt) {
                         self.out.remove(&name);
+                        if self.cancelled.len() == MOST_CANCELLED {
+                            self.cancelled.pop_front();
+                        }
+                        self.cancelled.push_back(name.clone());
                         self.frame = framed(format!("X{name}").as_bytes());
                     }
                 }
@@ -170,6 +210,19 @@
         barred
     }
 
+    /// An answer that no part out waits for: late, a second copy, or spoilt. In the last case one of the parts that
+    /// are out was meant, and would wait for its time-out.
+    fn answer_to_nobody(&mut self, id: &str) -> Result<(), &'static str> {
+        if let Some(at) = self.cancelled.iter().position(|name| name == id) {
+            self.cancelled.remove(at);
+        } else if self.answered == id {
+            self.spent = true;
+        } else {
+            return Err("an answer's id is unknown");
+        }
+        Ok(())
+    }
+
     /// So many more bytes of the frame are written. From its last byte on its parts may run.
     fn wrote(&mut self, bytes: usize) {
         self.written += bytes;
@@ -186,30 +239,44 @@
 
 /// A connection's life.
 pub async fn run(mut end: LinkEnd) {
-    let Some(stream) = end.dial().await else { return end.close(Vec::new()).await };
+    let Some(stream) = end.dial().await else { return end.close(Vec::new(), Outcome::ConnectFailed).await };
     let (mut reader, mut writer) = stream.into_split();
     let mut wire = Wire::default();
     let mut buffer = Vec::new();
     let shared = end.shared.clone();
+    let mut half: Option<Instant> = None;
+    let mut spoilt = false;
     loop {
         while wire.has_room() {
             let Ok(command) = end.commands.try_recv() else { break };
             wire.queue(command);
         }
-        for job in wire.load(&end) {
-            end.ended(job.attempt, Outcome::ConnectFailed, None).await;
+        for (job, outcome) in wire.load(&end, !buffer.is_empty()) {
+            end.ended(job.attempt, outcome, None).await;
         }
         tokio::select! {
+            // What came is read before anything is written: it may show that the connection is spent.
+            biased;
             () = shared.done() => break,
             read = reader.read_buf(&mut buffer) => match read {
                 Ok(0) | Err(_) => break,
-                Ok(_) => {
-                    if let Err(text) = take(&end, &mut wire, &mut buffer).await {
+                Ok(_) => match take(&end, &mut wire, &mut buffer).await {
+                    Ok(used) => {
+                        half = half.filter(|_| used == 0).or_else(|| Some(Instant::now() + HALF_FRAME));
+                        half = half.filter(|_| !buffer.is_empty());
+                    }
+                    Err(text) => {
                         log!("server {}: {text}", end.address);
+                        spoilt = true;
                         break;
                     }
                 }
             },
+            () = tokio::time::sleep_until(half.unwrap_or_else(Instant::now)), if half.is_some() => {
+                log!("server {}: half a frame and no more", end.address);
+                spoilt = true;
+                break;
+            }
             wrote = writer.write(&wire.frame[wire.written..]), if !wire.frame.is_empty() => match wrote {
                 Ok(bytes) if bytes > 0 => wire.wrote(bytes),
                 _ => break,
@@ -220,10 +287,18 @@
             },
         }
     }
-    // What was read before the end still counts; the rest may have run.
-    let _ = take(&end, &mut wire, &mut buffer).await;
+    end.spend();
+    // What was read before the end still counts; the rest may have run. A connection that is closed for what came
+    // on it was not broken by the server, and a query whose answers came spoilt is not what breaks it.
+    if !spoilt {
+        let _ = take(&end, &mut wire, &mut buffer).await;
+    }
+    let (cut, unsent_as) = match spoilt {
+        true => (Outcome::Error, Outcome::Moot),
+        false => (Outcome::Reset, Outcome::ConnectFailed),
+    };
     for (_, attempt) in std::mem::take(&mut wire.out) {
-        end.ended(attempt, Outcome::Reset, None).await;
+        end.ended(attempt, cut, None).await;
     }
     for _ in 0..wire.probes {
         end.tell(What::Probed { outcome: Outcome::Reset, report: Vec::new() }).await;
@@ -238,33 +313,49 @@
             Command::Cancel(_) => {}
         }
     }
-    end.close(unsent).await;
+    end.close(unsent, unsent_as).await;
 }
 
-/// Takes all whole frames off the buffer and tells what they mean.
-async fn take(end: &LinkEnd, wire: &mut Wire, buffer: &mut Vec<u8>) -> Result<(), String> {
+/// Takes all whole frames off the buffer and tells what they mean; how many bytes that took. An error: what came
+/// can't be used, nor can what comes behind it.
+async fn take(end: &LinkEnd, wire: &mut Wire, buffer: &mut Vec<u8>) -> Result<usize, String> {
     let mut used = 0;
     while let Some((frame, length)) = parse(&buffer[used..])? {
         used += length;
         match frame {
             Frame::Answer { id, end: word, value, .. } => {
-                // An answer to a cancelled part is nobody's.
-                let Some(attempt) = wire.out.remove(id) else { continue };
+                let Some(attempt) = wire.out.remove(id) else {
+                    wire.answer_to_nobody(id)?;
+                    if wire.spent {
+                        end.spend();
+                    }
+                    continue;
+                };
                 wire.names.remove(&attempt);
+                wire.answered.replace_range(.., id);
                 let outcome = outcome(word);
-                let value = (outcome == Outcome::Ok).then(|| Value::Plain(value.into()));
-                end.ended(attempt, outcome, value).await;
+                if outcome.is_none() || wire.out.is_empty() && buffer.len() > used {
+                    end.spend();
+                }
+                let value = (outcome == Some(Outcome::Ok)).then(|| Value::Plain(value.into()));
+                end.ended(attempt, outcome.unwrap_or(Outcome::Error), value).await;
+                if outcome.is_none() {
+                    return Err(format!("an answer's end is unknown: {}", word.escape_default()));
+                }
             }
-            Frame::Ping => {}
-            Frame::Load(text) => {
-                wire.probes = wire.probes.saturating_sub(1);
-                let outcome = if text == "err" { Outcome::Error } else { Outcome::Ok };
-                let report = report(text, &end.report_names);
+            Frame::Load(text) if wire.probes > 0 => {
+                wire.probes -= 1;
+                let outcome = if text == b"err" { Outcome::Error } else { Outcome::Ok };
+                let report = report(&String::from_utf8_lossy(text), &end.report_names);
                 end.tell(What::Probed { outcome, report }).await;
             }
+            Frame::Ping | Frame::Load(_) => return Err("a probe's answer that nobody asked for".into()),
             Frame::Complaint(text) => return Err(format!("it could not use a frame: {text}")),
         }
     }
     buffer.drain(..used);
-    Ok(())
+    if wire.spent && wire.out.is_empty() {
+        return Err("an answer came twice".into());
+    }
+    Ok(used)
 }
--- a/node/src/backends/opensearch.rs
+++ b/node/src/backends/opensearch.rs
@@ -8,12 +8,16 @@
 use serde::Deserialize;
 use serde_json::json;
 use serde_json::value::RawValue;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// The largest answer that is read.
 const MOST_ANSWER: usize = 1024 * 1024;
 
+/// How long an answer that has begun may bring nothing more. One that stands still has a length that doesn't fit.
+const STALL: Duration = Duration::from_secs(1);
+
 /// The request of a part.
 pub fn search(job: &Job, host: &str, now: Time) -> Vec<u8> {
     let body = match &job.text {
@@ -46,6 +50,13 @@
     error: Option<&'a RawValue>,
 }
 
+/// What a hits object must have to be merged with others.
+#[derive(Deserialize)]
+struct Hits {
+    #[serde(rename = "hits")]
+    _hits: Vec<serde::de::IgnoredAny>,
+}
+
 #[derive(Deserialize)]
 struct Shards {
     #[serde(default)]
@@ -63,7 +74,8 @@
     let Ok(text) = std::str::from_utf8(&response.body) else { return (Outcome::Error, None) };
     match serde_json::from_str::<Answer>(text) {
         Ok(Answer { timed_out: false, shards, hits: Some(hits), error: None })
-            if shards.as_ref().is_none_or(|shards| shards.failed == 0) =>
+            if serde_json::from_str::<Hits>(hits.get()).is_ok()
+                && shards.as_ref().is_none_or(|shards| shards.failed == 0) =>
         {
             (Outcome::Ok, Some(Value::Hits(hits.get().into())))
         }
@@ -73,16 +85,25 @@
 
 /// A connection's life.
 pub async fn run(mut end: LinkEnd) {
-    let Some(mut stream) = end.dial().await else { return end.close(Vec::new()).await };
+    let Some(mut stream) = end.dial().await else {
+        return end.close(Vec::new(), Outcome::ConnectFailed).await;
+    };
     let shared = end.shared.clone();
     let mut buffer = Vec::new();
     let mut unsent = Vec::new();
+    let mut why = Outcome::ConnectFailed;
     loop {
         let command = tokio::select! {
             () = shared.done() => break,
             command = end.commands.recv() => command,
             // Between requests a server has nothing to say: what comes is the connection's end.
-            _ = stream.read_buf(&mut buffer) => break,
+            read = stream.read_buf(&mut buffer) => {
+                if matches!(read, Ok(bytes) if bytes > 0) {
+                    log!("server {}: bytes that nobody asked for", end.address);
+                    why = Outcome::Moot;
+                }
+                break;
+            }
         };
         match command {
             None => break,
@@ -108,7 +129,8 @@
             }
         }
     }
-    end.close(unsent).await;
+    end.spend();
+    end.close(unsent, why).await;
 }
 
 /// One search. Whether the connection can take another.
@@ -141,6 +163,11 @@
                 Ok(bytes) if bytes > 0 => written += bytes,
                 _ => break,
             },
+            () = tokio::time::sleep(STALL), if !buffer.is_empty() => {
+                log!("server {host}: half an answer and no more");
+                end.ended(job.attempt, Outcome::Error, None).await;
+                return false;
+            }
             read = reader.read_buf(buffer), if written == request.len() => {
                 let ended = matches!(read, Ok(0));
                 if read.is_err() {
@@ -150,8 +177,17 @@
                     Ok(Some((response, used))) => {
                         buffer.drain(..used);
                         let (outcome, value) = outcome(&response);
+                        // More than the answer came: the next search would be given it for its own.
+                        let more = !buffer.is_empty();
+                        if more {
+                            log!("server {host}: more than the answer came");
+                        }
+                        let usable = !response.close && !ended && !more;
+                        if !usable {
+                            end.spend();
+                        }
                         end.ended(job.attempt, outcome, value).await;
-                        return !response.close && !ended;
+                        return usable;
                     }
                     Ok(None) if ended => break,
                     Ok(None) => {}
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -191,10 +191,7 @@
             limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB),
             limits.sockets.unwrap_or(DEFAULT_SOCKETS),
         ),
-        known: match json.known {
-            Some(page) => page.news().map_err(|e| format!("'known': {e}"))?,
-            None => discovery::News::default(),
-        },
+        known: json.known.map(discovery::Page::news).unwrap_or_default(),
         deployment,
         opensearch,
         indices,
--- a/node/src/fronts/opensearch.rs
+++ b/node/src/fronts/opensearch.rs
@@ -429,6 +429,7 @@
             error(status, kind, "refused: trying again is harmless")
                 .with("Retry-After", whole_secs(retry_after))
         }
+        Answer::Repeated => error(409, "illegal_state_exception", "the search's name was used before"),
         Answer::Failed { late: true } => error(504, "timeout_exception", "no answer in time"),
         Answer::Failed { late: false } => {
             error(500, "search_phase_execution_exception", "a part failed and may have run")
--- a/node/src/fronts/platform.rs
+++ b/node/src/fronts/platform.rs
@@ -137,6 +137,7 @@
             let status = if busy { 429 } else { 503 };
             error(status, "refused: trying again is harmless").with("Retry-After", decimal(retry_after))
         }
+        Answer::Repeated => error(409, "X-Request-Id was used before"),
         Answer::Failed { late: true } => error(504, "failed: no answer in time"),
         Answer::Failed { late: false } => error(500, "failed"),
     }
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -48,6 +48,8 @@
 pub struct Shared {
     /// Nothing new may be written: its server drains or is gone.
     barred: Cell<bool>,
+    /// Nothing new should be queued: the connection is about to be closed for what came on it.
+    spent: Cell<bool>,
     /// The core is done with the connection.
     ended: Notify,
 }
@@ -76,6 +78,11 @@
         self.shared.barred.get()
     }
 
+    /// Keeps the core from queuing more here, from now on and not only once it hears of the end.
+    pub fn spend(&self) {
+        self.shared.spent.set(true);
+    }
+
     pub async fn tell(&self, what: What) {
         let _ = self.core.send(Message::Link(LinkEvent { link: self.id, what })).await;
     }
@@ -98,17 +105,18 @@
         }
     }
 
-    /// Reports what never reached the wire, then the end.
-    pub async fn close(mut self, unsent: Vec<Job>) {
+    /// Reports what never reached the wire, then the end. `why` says that it never ran: no connection, or, where
+    /// the connection was closed from here, never sent, which says nothing of the server's health.
+    pub async fn close(mut self, unsent: Vec<Job>, why: Outcome) {
         for job in unsent {
-            self.ended(job.attempt, Outcome::ConnectFailed, None).await;
+            self.ended(job.attempt, why, None).await;
         }
         self.commands.close();
         while let Ok(command) = self.commands.try_recv() {
             match command {
                 Command::Call(jobs) => {
                     for job in jobs {
-                        self.ended(job.attempt, Outcome::ConnectFailed, None).await;
+                        self.ended(job.attempt, why, None).await;
                     }
                 }
                 Command::Probe => {
@@ -277,6 +285,7 @@
         let usable = self.links.iter().filter(|(_, link)| {
             link.server == server
                 && !link.retired
+                && !link.shared.spent.get()
                 && !silent(link)
                 && link.out.len() + call.len() <= self.streams
                 && link.commands.capacity() > 0
@@ -379,14 +388,24 @@
         }
     }
 
-    /// Closes connections that stand idle, before their other side does so without a word.
+    /// Closes connections that stand idle, before their other side does so without a word, and those that get
+    /// nothing new; forgets servers that are gone once no connection to them is left.
     pub fn sweep(&mut self, now: Time) {
         for link in self.links.values_mut() {
-            let idle = now - link.used > self.idle;
-            if link.up && link.out.is_empty() && (idle || link.retired) {
+            let gone = self.nodes.get(&link.server).is_none_or(|node| node.state == ServerState::Gone);
+            let done = gone || link.retired || link.shared.spent.get() || now - link.used > self.idle;
+            if link.up && link.out.is_empty() && done {
                 link.end();
             }
         }
+        let linked: BTreeSet<ServerId> = self.links.values().map(|link| link.server).collect();
+        self.nodes.retain(|server, node| node.state != ServerState::Gone || linked.contains(server));
+    }
+
+    /// How many servers and connections are known.
+    #[cfg(test)]
+    pub fn size(&self) -> (usize, usize) {
+        (self.nodes.len(), self.links.len())
     }
 
     /// Notes what a connection tells; returns what the decisions must hear.
--- a/node/src/stages/admit.rs
+++ b/node/src/stages/admit.rs
@@ -10,8 +10,13 @@
     if ask.reply.is_closed() {
         return; // its client left before it was taken in
     }
-    // Servers tell parts apart by their request's name: two open ones of one name could swap their values.
-    if !book.has_room(ask.request.parts.len()) || book.holds(&ask.request.name) {
+    // Servers tell parts apart by their request's name: two of one name could swap their values, also where the
+    // first has just ended and a part of it that was given up is still to be answered.
+    if book.knows(&ask.request.name) {
+        let _ = ask.reply.send(Answer::Repeated);
+        return;
+    }
+    if !book.has_room(ask.request.parts.len()) {
         let retry_after = FULL_ADVICE * route.aim(ask.request.class);
         let _ = ask.reply.send(Answer::Refused { retry_after, busy: true });
         return;
@@ -22,7 +27,7 @@
     }
     let (class, due) = (ClassId(ask.request.class as u16), ask.request.due);
     let (work, repeat) = (ask.request.work, ask.request.repeat);
-    let (id, parts) = book.open(ask);
+    let (id, parts) = book.open(now, ask);
     route.push(Event::Query { id, class, number: id.0, due, work, repeat });
     for (part, spec) in parts {
         route.push(Event::Part { id: part, number: id.0, shard: spec.shard, weight: spec.weight });
--- a/node/src/stages/book.rs
+++ b/node/src/stages/book.rs
@@ -3,12 +3,15 @@
 use super::{Answer, Ask, Attempt, Ended, Job, PartAnswer, PartSpec, Request, Value};
 use crate::config::Config;
 use cairnroad::{Outcome, RequestId, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
 /// How long before its end a request counts as late, in seconds: ends come some ticks early.
 const LATE: f64 = 0.05;
+/// How long a request's name is remembered, in seconds: longer than it can be open, and long enough for a part that
+/// was given up to be answered after all. A name is fresh for each request, a retry included.
+const NAME_KEPT: f64 = 10.0;
 
 /// An open request.
 pub struct Open {
@@ -42,6 +45,7 @@
 }
 
 /// All that is open.
+#[derive(Default)]
 pub struct Book {
     cap: usize,
     classes: Vec<Arc<str>>,
@@ -49,13 +53,16 @@
     queries: BTreeMap<RequestId, Open>,
     /// Each open part's query, its place in it, and how many attempts it had.
     parts: BTreeMap<RequestId, (RequestId, usize, u8)>,
+    /// The names taken of late, and when each was.
+    names: BTreeSet<Arc<str>>,
+    taken: VecDeque<(Time, Arc<str>)>,
 }
 
 impl Book {
     pub fn new(config: &Config) -> Self {
         let classes = config.deployment.class_names.iter().map(|name| name.as_str().into()).collect();
         let cap = config.deployment.open_cap;
-        Book { cap, classes, next: 1, queries: BTreeMap::new(), parts: BTreeMap::new() }
+        Book { cap, classes, next: 1, ..Book::default() }
     }
 
     /// Whether a query of so many parts fits under the cap on queries and parts held.
@@ -63,13 +70,20 @@
         self.queries.len() + self.parts.len() + 1 + parts <= self.cap
     }
 
-    /// Whether a request of this name is open.
-    pub fn holds(&self, name: &str) -> bool {
-        self.queries.values().any(|open| *open.request.name == *name)
+    /// Whether a request of this name is open or was of late.
+    pub fn knows(&self, name: &str) -> bool {
+        self.names.contains(name)
     }
 
     /// Opens a request: its id, and its parts' ids.
-    pub fn open(&mut self, ask: Ask) -> (RequestId, Vec<(RequestId, PartSpec)>) {
+    pub fn open(&mut self, now: Time, ask: Ask) -> (RequestId, Vec<(RequestId, PartSpec)>) {
+        while self.taken.front().is_some_and(|(at, _)| now - *at > NAME_KEPT) {
+            if let Some((_, name)) = self.taken.pop_front() {
+                self.names.remove(&name);
+            }
+        }
+        self.names.insert(ask.request.name.clone());
+        self.taken.push_back((now, ask.request.name.clone()));
         let id = RequestId(self.next);
         let parts: Vec<_> = (id.0 + 1..).map(RequestId).zip(ask.request.parts.iter().cloned()).collect();
         self.next += 1 + parts.len() as u64;
@@ -105,7 +119,7 @@
         let result = match (ended.outcome, &ended.value) {
             (Outcome::Ok, Some(value)) => Ok(value.clone()),
             (Outcome::Full, _) => Err("turned away"),
-            (Outcome::ConnectFailed, _) => Err("no connection"),
+            (Outcome::ConnectFailed | Outcome::Moot, _) => Err("no connection"),
             (Outcome::Reset, _) => Err("the connection broke"),
             (Outcome::Timeout, _) => Err("no answer in time"),
             _ => Err("the server answered with an error"),
--- a/node/src/stages/mod.rs
+++ b/node/src/stages/mod.rs
@@ -95,6 +95,8 @@
     Failed {
         late: bool,
     },
+    /// Not taken: its name was used before.
+    Repeated,
 }
 
 /// A request and where its answer goes. A front that drops the other end has lost its client.
@@ -344,7 +346,7 @@
     }
 
     fn note_news(&mut self, news: &News, cached: bool) {
-        let rows = self.directory.number(&news.rows);
+        let rows = self.directory.number(news);
         self.pool.note_list(&rows, news.complete);
         self.route.push(Event::List(discovery::list_news(&rows, news.complete, cached)));
         self.fresh_list |= !cached;
@@ -365,6 +367,38 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use cairnroad::ServerState;
+
+    /// Guards against tables that grow with every server that a long day replaces.
+    #[test]
+    fn replaced_servers_are_forgotten() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let config = crate::config::tests::sample();
+            let (clock, (_asks, asked)) = (Clock::new(), mpsc::channel(4));
+            let phase = Rc::new(watch::channel(Phase::Starting).0);
+            let mut core = Core::new(&config, clock, asked, mpsc::channel(64), phase);
+            for generation in 0..300 {
+                let row = |(at, state)| discovery::Row {
+                    id: format!("s-{at}"),
+                    address: "127.0.0.1:1".parse().unwrap(),
+                    cell: at as u32 % 2,
+                    state,
+                    size: 1.0,
+                    ready_at: None,
+                };
+                let gone = (generation, ServerState::Gone);
+                let fresh = (generation + 1..generation + 5).map(|at| (at, ServerState::Ready));
+                // By changes and, now and then, by a whole list without the one that is gone.
+                let complete = generation % 3 == 0;
+                let rows = std::iter::once(gone).filter(|_| !complete).chain(fresh).map(row).collect();
+                core.note_news(&News { revision: 1, complete, rows }, false);
+                core.turn();
+                core.pool.sweep(core.clock.now());
+            }
+            assert_eq!((core.directory.len(), core.pool.size().0, core.route.servers()), (4, 4, 4));
+        });
+    }
 
     #[test]
     fn what_is_read_after_a_stall_may_have_come_at_its_start() {
--- a/node/src/stages/route.rs
+++ b/node/src/stages/route.rs
@@ -36,6 +36,12 @@
         }
     }
 
+    /// How many servers the decisions know.
+    #[cfg(test)]
+    pub fn servers(&self) -> usize {
+        self.aggregator.servers()
+    }
+
     pub fn has_events(&self) -> bool {
         !self.lists.is_empty() || !self.events.is_empty()
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -254,6 +254,7 @@
                 Event::Wake => {}
             }
         }
+        self.forget_gone();
         for part in won {
             let twins = self.parts.get_mut(&part).map(|p| std::mem::take(&mut p.out)).unwrap_or_default();
             for attempt in twins {
@@ -303,7 +304,7 @@
 
     fn note_query(&mut self, now: Time, event: &Event) {
         let &Event::Query { id, class, number, due, work, repeat } = event else { return };
-        self.taken.push(now);
+        self.note_taken(now);
         let class = usize::from(class.0);
         let margin = self.settings.tick * END_TICKS;
         // A query of an unknown class is one that earns nothing: it ends at once, in `open_step`.
@@ -338,15 +339,22 @@
         if self.parts.contains_key(&id) {
             return None;
         }
-        self.taken.push(now);
         query.parts.push(id);
         query.kind.1 = query.kind.1.wrapping_add(u64::from(shard).wrapping_mul(u64::from(shard)) + 1);
         let weight = if weight.is_finite() { weight.max(0.0) } else { 0.0 };
         let part = Part { query: query_id, class: query.class, shard, weight, ..Part::default() };
         self.parts.insert(id, part);
+        self.note_taken(now);
         Some(query_id)
     }
 
+    /// Where no budget is stated nobody counts these, and they would pile up.
+    fn note_taken(&mut self, now: Time) {
+        if self.settings.budget.is_some() {
+            self.taken.push(now);
+        }
+    }
+
     /// Books an outcome with its server and its part; the query, if that still runs.
     fn note_outcome(&mut self, now: Time, id: RequestId, attempt: u8, outcome: Outcome) -> Option<RequestId> {
         let flight = self.land(id, attempt)?;
@@ -681,7 +689,7 @@
                 self.timers.insert((now + delay, Due::Hedge(id)));
             }
         }
-        if attempt > 0 {
+        if attempt > 0 && self.settings.budget.is_some() {
             self.further.push(now);
         }
         self.turns += 1;
@@ -865,7 +873,24 @@
 
     // ---- The server list ------------------------------------------------------------------------------
 
-    /// A server once listed stays known. One missing from a whole list is gone; an empty list is no news.
+    /// How many servers are known.
+    pub fn servers(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Forgets the servers that are gone and have nothing out: on a long day they are replaced without end.
+    fn forget_gone(&mut self) {
+        let cells = &mut self.cells;
+        self.servers.retain(|id, server| {
+            let known = server.state != ServerState::Gone || !server.out.is_empty();
+            if let Some(cell) = cells.get_mut(&server.cell).filter(|_| !known) {
+                cell.remove(id);
+            }
+            known
+        });
+    }
+
+    /// A server missing from a whole list is gone; an empty list is no news.
     fn note_list(&mut self, now: Time, news: &ListNews) {
         let rows = match news {
             ListNews::Failed => {
