--- a/node/src/backends/frames.rs
+++ b/node/src/backends/frames.rs
@@ -20,7 +20,7 @@
 const MOST_FRAME: u32 = (http::MOST_BODY + MOST_LINE) as u32;
 /// How long a frame may take to come in whole once it has begun. Servers write theirs in one go; one that stands
 /// still for longer has a length that doesn't fit, and the part that it was for would wait for its time-out.
-const HALF_FRAME: Duration = Duration::from_millis(300);
+const HALF_FRAME: Duration = Duration::from_millis(150);
 /// Cancelled parts of a connection that may still be answered. Far more than a connection carries at a time.
 const MOST_CANCELLED: usize = 512;
 
@@ -329,6 +329,7 @@
                     if wire.spent {
                         end.spend();
                     }
+                    end.tell(What::Heard).await;
                     continue;
                 };
                 wire.names.remove(&attempt);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -107,6 +107,9 @@
         };
         tokio::task::spawn_local(fronts::listen(listener, Rc::new(front)));
     }
+    for (name, class) in config.deployment.class_names.iter().zip(&config.deployment.policy.classes) {
+        log!("class {name}: wanted within {:.3} s, given up at {:.3} s", class.aim, class.deadline);
+    }
     let core = Core::new(&config, clock.clone(), asked, (to_core.clone(), messages), phase.clone());
     let (agent, agents) = watch::channel(config.discovery);
     tokio::task::spawn_local(discovery::watch(agents, to_core));
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -16,9 +16,12 @@
 
 /// Commands that may wait for a connection. One that lets them pile up has hung.
 const QUEUE: usize = 256;
-/// A connection that owes an answer and has been silent for so long gets nothing new: its machine may be gone.
-/// A fresh one fails in the dial time-out, which proves that a part never ran; silence proves nothing.
-const SILENT: f64 = 0.9;
+/// A connection that owes an answer and has been silent for this share of the shortest aim gets nothing new: its
+/// machine may be gone, or the connection alone. A fresh one answers, or fails in the dial time-out, which proves
+/// that a part never ran; silence proves nothing. Many answers pass on a sound connection in that time.
+const SILENT_SHARE: f64 = 0.25;
+/// Most connections to one server that may be silent: where a server is slow as a whole, more would not help it.
+const MOST_SILENT: usize = 3;
 /// Idle connections are closed after this share of the time after which their other side does so.
 const IDLE_SHARE: f64 = 0.7;
 
@@ -38,8 +41,17 @@
 
 pub enum What {
     Up,
-    Ended { attempt: Attempt, outcome: Outcome, value: Option<Value> },
-    Probed { outcome: Outcome, report: Vec<f64> },
+    /// An answer to a cancelled part.
+    Heard,
+    Ended {
+        attempt: Attempt,
+        outcome: Outcome,
+        value: Option<Value>,
+    },
+    Probed {
+        outcome: Outcome,
+        report: Vec<f64>,
+    },
     Closed,
 }
 
@@ -138,13 +150,38 @@
     up: bool,
     out: BTreeSet<Attempt>,
     used: Time,
-    /// The first send since it was last heard of.
-    silent_since: Option<Time>,
+    /// How long it owed answers and said nothing, up to when it last owed none; and from when on it owes one. A
+    /// cancel ends a debt, yet proves nothing: only what is heard does.
+    unheard: f64,
+    owes_since: Option<Time>,
     /// It gets nothing new.
     retired: bool,
 }
 
 impl Link {
+    fn owe(&mut self, now: Time) {
+        self.owes_since.get_or_insert(now);
+    }
+
+    /// Something came from the server.
+    fn hear(&mut self, now: Time) {
+        self.unheard = 0.0;
+        self.owes_since = (!self.out.is_empty()).then_some(now);
+    }
+
+    /// An attempt is not waited for any more.
+    fn let_off(&mut self, now: Time) {
+        if self.out.is_empty() {
+            self.unheard = self.silence(now);
+            self.owes_since = None;
+        }
+    }
+
+    /// For how long it has owed answers and said nothing.
+    fn silence(&self, now: Time) -> f64 {
+        self.unheard + self.owes_since.map_or(0.0, |at| now - at)
+    }
+
     fn end(&mut self) {
         self.retired = true;
         self.shared.ended.notify_one();
@@ -164,6 +201,8 @@
     batch: usize,
     dial_timeout: f64,
     idle: f64,
+    /// Silence, in seconds, after which a connection gets nothing new.
+    silent: f64,
     report_names: Arc<[String]>,
     clock: Clock,
     core: mpsc::Sender<Message>,
@@ -193,6 +232,7 @@
             batch,
             dial_timeout: deployment.dial_timeout,
             idle: deployment.keepalive * IDLE_SHARE,
+            silent: deployment.policy.classes.iter().map(|c| c.aim).fold(1.0, f64::min) * SILENT_SHARE,
             report_names: deployment.report_names.clone().into(),
             clock,
             core,
@@ -263,7 +303,7 @@
                     self.out.insert(job.attempt, id);
                 }
                 link.used = now;
-                link.silent_since.get_or_insert(now);
+                link.owe(now);
                 // `link_for` saw room in the queue.
                 let _ = link.commands.try_send(Command::Call(call));
             }
@@ -281,18 +321,20 @@
     ) -> Option<u64> {
         let node = self.nodes.get(&server).filter(|node| node.state == ServerState::Ready)?;
         let address = node.address;
-        let silent = |link: &Link| link.silent_since.is_some_and(|at| now - at > SILENT);
+        let silent = |link: &Link| link.silence(now) > self.silent;
+        let to_server = self.links.values().filter(|link| link.server == server);
+        let too_many = to_server.filter(|link| silent(link)).count() >= MOST_SILENT;
         let usable = self.links.iter().filter(|(_, link)| {
             link.server == server
                 && !link.retired
                 && !link.shared.spent.get()
-                && !silent(link)
+                && (too_many || !silent(link))
                 && link.out.len() + call.len() <= self.streams
                 && link.commands.capacity() > 0
                 // Names tell parts apart on a connection: two attempts of one part never share one.
                 && !call.iter().any(|job| link.out.iter().any(|out| out.part == job.attempt.part))
         });
-        let best = usable.min_by_key(|(_, link)| (!link.up, link.out.len())).map(|(&id, _)| id);
+        let best = usable.min_by_key(|(_, link)| (silent(link), !link.up, link.out.len())).map(|(&id, _)| id);
         if best.is_some() {
             return best;
         }
@@ -322,7 +364,8 @@
             up: false,
             out: BTreeSet::new(),
             used: now,
-            silent_since: None,
+            unheard: 0.0,
+            owes_since: None,
             retired: false,
         };
         self.links.insert(id, link);
@@ -356,13 +399,7 @@
         if link.commands.try_send(Command::Cancel(attempt)).is_err() {
             link.end();
         }
-        if link.out.is_empty() {
-            match link.silent_since.take() {
-                // It owed an answer for too long: what comes next dials anew.
-                Some(at) if now - at > SILENT => link.end(),
-                _ => {}
-            }
-        }
+        link.let_off(now);
     }
 
     /// An attempt's time is up. Whether it was still out.
@@ -393,7 +430,8 @@
     pub fn sweep(&mut self, now: Time) {
         for link in self.links.values_mut() {
             let gone = self.nodes.get(&link.server).is_none_or(|node| node.state == ServerState::Gone);
-            let done = gone || link.retired || link.shared.spent.get() || now - link.used > self.idle;
+            let over = now - link.used > self.idle || link.silence(now) > self.silent;
+            let done = gone || link.retired || link.shared.spent.get() || over;
             if link.up && link.out.is_empty() && done {
                 link.end();
             }
@@ -414,14 +452,18 @@
         match event.what {
             What::Up => {
                 link.up = true;
-                link.silent_since = (!link.out.is_empty()).then_some(now);
+                link.hear(now);
+                None
+            }
+            What::Heard => {
+                link.hear(now);
                 None
             }
             What::Ended { attempt, outcome, value } => {
                 let known = link.out.remove(&attempt);
                 if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
                     link.used = now;
-                    link.silent_since = (!link.out.is_empty()).then_some(now);
+                    link.hear(now);
                 }
                 if !known {
                     return None; // cancelled or timed out meanwhile
@@ -444,6 +486,45 @@
     use crate::stages::Text;
     use cairnroad::RequestId;
 
+    fn list(address: SocketAddr, state: ServerState) -> Vec<(ServerId, Row)> {
+        let row = Row { id: "s".into(), address, cell: 0, state, size: 1.0, ready_at: None };
+        vec![(ServerId(0), row)]
+    }
+
+    fn job(attempt: Attempt, clock: &Clock) -> Job {
+        let (name, class) = (format!("q{}", attempt.part.0).into(), "c".into());
+        let (text, until) = (Text::Plain("t".into()), clock.now() + 9.0);
+        Job { attempt, name, class, shard: 0, text, until }
+    }
+
+    /// Guards against a connection that fell silent and stays in use because each part on it is cancelled before
+    /// its silence has lasted.
+    #[test]
+    fn a_cancel_does_not_excuse_a_connections_silence() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (to_core, mut messages) = mpsc::channel(16);
+            let clock = Clock::new();
+            let mut pool = Pool::new(&crate::config::tests::sample(), clock.clone(), to_core);
+            pool.note_list(&list(listener.local_addr().unwrap(), ServerState::Ready), true);
+            let start = clock.now();
+            // When each part is sent and cancelled, and whether it takes a new connection. The sample's aim is 1 s.
+            let mut turns = vec![(0.0, 0.15, true), (5.0, 5.05, false), (6.0, 6.1, false), (7.0, 7.1, true)];
+            for (number, (sent, cancelled, dials)) in turns.drain(..).enumerate() {
+                let attempt = Attempt { part: RequestId(number as u64), number: 0 };
+                pool.stage(ServerId(0), job(attempt, &clock));
+                assert_eq!(pool.flush(start + sent).1.len(), usize::from(dials), "part {number}");
+                if dials {
+                    let Some(Message::Link(event)) = messages.recv().await else { panic!("no connection") };
+                    assert!(matches!(event.what, What::Up));
+                    pool.note(start + sent, event);
+                }
+                pool.cancel(start + cancelled, attempt);
+            }
+        });
+    }
+
     /// Guards against a frame that waits behind a dial and leaves after the grace of its server's drain.
     #[test]
     fn a_call_queued_behind_a_dial_is_not_sent_once_its_server_drains() {
@@ -454,18 +535,12 @@
             let clock = Clock::new();
             let mut pool = Pool::new(&crate::config::tests::sample(), clock.clone(), to_core);
             let address = listener.local_addr().unwrap();
-            let list = |state| {
-                let row = Row { id: "s".into(), address, cell: 0, state, size: 1.0, ready_at: None };
-                vec![(ServerId(0), row)]
-            };
             let attempt = Attempt { part: RequestId(2), number: 0 };
-            let (name, class) = ("q".into(), "c".into());
-            let (text, until) = (Text::Plain("t".into()), clock.now() + 1.0);
-            pool.note_list(&list(ServerState::Ready), true);
-            pool.stage(ServerId(0), Job { attempt, name, class, shard: 0, text, until });
+            pool.note_list(&list(address, ServerState::Ready), true);
+            pool.stage(ServerId(0), job(attempt, &clock));
             let (failed, dials) = pool.flush(clock.now());
             assert_eq!((failed.len(), dials.len()), (0, 1));
-            pool.note_list(&list(ServerState::Draining), false);
+            pool.note_list(&list(address, ServerState::Draining), false);
             let Some(Message::Link(event)) = messages.recv().await else { panic!("no outcome") };
             let Some(Brought::Attempt(ended)) = pool.note(clock.now(), event) else { panic!("no attempt") };
             assert_eq!((ended.attempt, ended.outcome), (attempt, Outcome::ConnectFailed));
