--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -60,8 +60,10 @@
 /// Shares of the descriptors and of memory, worked out once.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
-    /// Client connections that may have a request open; more are told to come back. Over this number, idle ones
-    /// are closed to make room.
+    /// Client connections that stay open while they idle; over this number the longest idle make room. Clients
+    /// hold a third of the descriptors at most for their requests, those of idle connections included.
+    pub kept: usize,
+    /// Client connections that may have a request open; more are told to come back.
     pub clients: usize,
     /// Client connections that are accepted at all.
     pub accepted: usize,
@@ -75,7 +77,8 @@
     fn new(memory_mb: u64, sockets: usize) -> Limits {
         let by_memory = (memory_mb as usize).saturating_mul(1024) / 160 / 2;
         let clients = (sockets / 2).min(by_memory).max(8);
-        Limits { clients, accepted: sockets / 2 + sockets / 8, links: (sockets / 4).max(8) }
+        let kept = (sockets / 5).clamp(8, clients);
+        Limits { kept, clients, accepted: sockets / 2 + sockets / 8, links: (sockets / 4).max(8) }
     }
 }
 
@@ -255,6 +258,16 @@
         assert_eq!(config.deployment.policy.retry_after, Some(2.0), "refusals always say when to return");
     }
 
+    /// Guards against connections that clients used once and that stand open until the clients may hold no more.
+    #[test]
+    fn idle_connections_leave_clients_room_within_their_third() {
+        for (sockets, memory) in [(256, 32), (384, 48), (1024, 128), (1024, 32)] {
+            let limits = Limits::new(memory, sockets);
+            assert!(limits.kept * 3 / 2 <= sockets / 3, "{limits:?}");
+            assert!(limits.accepted + limits.links + sockets / 16 <= sockets, "{limits:?}");
+        }
+    }
+
     #[test]
     fn what_takes_a_restart_is_named() {
         let read = |text: String| read(text.as_bytes(), "", |_| None).unwrap();
--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -141,8 +141,12 @@
             Ok((stream, _)) => {
                 let now = front.clock.now();
                 let place = front.places.take(now);
-                if front.places.open() > front.limits.clients {
-                    front.places.make_room(now);
+                // Two leave for each that comes until there is room: one alone would never win back what was lost
+                // while all were too young to leave.
+                for _ in 0..2 {
+                    if front.places.open() > front.limits.kept {
+                        front.places.make_room(now);
+                    }
                 }
                 let front = front.clone();
                 tokio::task::spawn_local(async move { serve(stream, &front, place).await });
@@ -222,7 +226,7 @@
     let (mut begun, rest) = (None, Instant::now() + IDLE);
     loop {
         if let Some((request, used)) = http::request(buffer)? {
-            place.busy();
+            place.asked();
             buffer.drain(..used);
             return Ok(Some(request));
         }
--- a/node/src/fronts/places.rs
+++ b/node/src/fronts/places.rs
@@ -7,11 +7,14 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// A connection that idles for less isn't told to leave: its request may be on its way.
+/// A connection that idles for less isn't told to leave: its request may be on its way. The first one on a connection
+/// has failed if the connection is closed under it; a later one comes again on a new connection, and a client that
+/// comes back to its connection does so soon where many ask.
 const YOUNG: f64 = 0.25;
+const YOUNG_USED: f64 = 0.05;
 
-/// Who waits for a request, the longest idle first.
-type Idle = BTreeMap<(Time, u64), Rc<Notify>>;
+/// Who waits for a request, the longest idle first, and how long each may.
+type Idle = BTreeMap<(Time, u64), (f64, Rc<Notify>)>;
 
 #[derive(Default)]
 pub struct Places {
@@ -27,7 +30,8 @@
         self.open.set(self.open.get() + 1);
         self.last.set(now);
         let id = self.next.replace(self.next.get() + 1);
-        Place { places: self.clone(), id, idle_since: Cell::new(None), leave: Rc::default() }
+        let (idle_since, used) = (Cell::new(None), Cell::new(false));
+        Place { places: self.clone(), id, idle_since, used, leave: Rc::default() }
     }
 
     pub fn open(&self) -> usize {
@@ -46,12 +50,14 @@
     /// Tells the connection that has been idle for longest to leave; whether there was one.
     pub fn make_room(&self, now: Time) -> bool {
         let mut idle = self.idle.borrow_mut();
-        match idle.first_entry() {
-            Some(longest) if now - longest.key().0 >= YOUNG => {
-                longest.remove().notify_one();
+        let longest =
+            idle.iter().find(|((since, _), (least, _))| now - *since >= *least).map(|(&key, _)| key);
+        match longest.and_then(|key| idle.remove(&key)) {
+            Some((_, leave)) => {
+                leave.notify_one();
                 true
             }
-            _ => false,
+            None => false,
         }
     }
 }
@@ -61,6 +67,8 @@
     places: Rc<Places>,
     id: u64,
     idle_since: Cell<Option<Time>>,
+    /// A request has come in on it.
+    used: Cell<bool>,
     leave: Rc<Notify>,
 }
 
@@ -69,10 +77,17 @@
     pub fn idle(&self, now: Time) {
         if self.idle_since.get().is_none() {
             self.idle_since.set(Some(now));
-            self.places.idle.borrow_mut().insert((now, self.id), self.leave.clone());
+            let least = if self.used.get() { YOUNG_USED } else { YOUNG };
+            self.places.idle.borrow_mut().insert((now, self.id), (least, self.leave.clone()));
         }
     }
 
+    /// A request has come in.
+    pub fn asked(&self) {
+        self.used.set(true);
+        self.busy();
+    }
+
     pub fn busy(&self) {
         if let Some(since) = self.idle_since.take() {
             self.places.idle.borrow_mut().remove(&(since, self.id));
@@ -114,6 +129,14 @@
         };
         assert_eq!((left(9.1), left(9.1), left(9.1)), (vec![0, 3], vec![3], vec![3]));
         assert_eq!(left(9.3), Vec::<u64>::new());
+        // Of two that idle since the same moment, the one that was answered may leave sooner.
+        held[2].busy();
+        held[2].idle(at(10.0));
+        held[1].asked();
+        held[1].idle(at(10.0));
+        assert_eq!((left(10.04), left(10.06)), (vec![1, 2], vec![2]));
+        held[1].busy();
+        held[2].busy();
         drop(held);
         assert_eq!((places.open(), places.busy()), (0, 0));
     }
