Send nothing on a connection that stands in the middle of an answer; hold watch calls 2 s

Once the agent fell silent, which showed only after 6 s. Checked by a trace of outcomes and of what each query had tried (not kept). Ruled out: silence as such (the rest of the connections answered), refusals. At fault: Pool::link_for knew nothing of a half frame, Wire::bar asked only with nothing out; HOLD_MS of 5 s.

Now a half frame bars its connection until the rest is there; queued calls go elsewhere as never sent. The test fails without the change (the second call goes to the same connection for good).

--- a/node/src/backends/frames.rs
+++ b/node/src/backends/frames.rs
@@ -167,12 +167,12 @@
     }
 
     /// Whether a call may not be written any more, as an outcome that says it never ran: its server drains or is
-    /// gone, or the connection is spent or has begun to bring something with nothing out.
+    /// gone, or the connection is spent or stands in the middle of a frame, which may never end.
     fn bar(&self, end: &LinkEnd, unread: bool) -> Option<Outcome> {
         if end.barred() {
             return Some(Outcome::ConnectFailed);
         }
-        (self.spent || unread && self.out.is_empty() && self.probes == 0).then_some(Outcome::Moot)
+        (self.spent || unread).then_some(Outcome::Moot)
     }
 
     /// The next frame, once the one before it is written. Parts that may not be written any more are returned.
@@ -264,6 +264,7 @@
                     Ok(used) => {
                         half = half.filter(|_| used == 0).or_else(|| Some(Instant::now() + HALF_FRAME));
                         half = half.filter(|_| !buffer.is_empty());
+                        end.set_spent(wire.spent || half.is_some());
                     }
                     Err(text) => {
                         log!("server {}: {text}", end.address);
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc, watch};
 
 /// How long one watch call may wait. Short, so that a watch whose answer was lost is soon renewed.
-const HOLD_MS: u64 = 5_000;
+const HOLD_MS: u64 = 2_000;
 /// How long after that the agent is taken to be silent.
 const SILENCE: Duration = Duration::from_millis(HOLD_MS + 1_000);
 /// How long the first list may take.
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -60,7 +60,8 @@
 pub struct Shared {
     /// Nothing new may be written: its server drains or is gone.
     barred: Cell<bool>,
-    /// Nothing new should be queued: the connection is about to be closed for what came on it.
+    /// Nothing new should be queued: the connection is about to be closed for what came on it, or stands in the
+    /// middle of an answer.
     spent: Cell<bool>,
     /// The core is done with the connection.
     ended: Notify,
@@ -92,7 +93,11 @@
 
     /// Keeps the core from queuing more here, from now on and not only once it hears of the end.
     pub fn spend(&self) {
-        self.shared.spent.set(true);
+        self.set_spent(true);
+    }
+
+    pub fn set_spent(&self, spent: bool) {
+        self.shared.spent.set(spent);
     }
 
     pub async fn tell(&self, what: What) {
@@ -525,6 +530,42 @@
         });
     }
 
+    /// Guards against calls on a connection whose server stopped in the middle of an answer: they would be lost with
+    /// it, though they need never be written there.
+    #[test]
+    fn a_connection_in_the_middle_of_an_answer_gets_nothing_new() {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (to_core, mut messages) = mpsc::channel(16);
+            let clock = Clock::new();
+            let mut pool = Pool::new(&crate::config::tests::sample(), clock.clone(), to_core);
+            pool.note_list(&list(listener.local_addr().unwrap(), ServerState::Ready), true);
+            let now = clock.now();
+            let send = |pool: &mut Pool, number| {
+                pool.stage(ServerId(0), job(Attempt { part: RequestId(number), number: 0 }, &clock));
+                pool.flush(now).1.len()
+            };
+            assert_eq!(send(&mut pool, 1), 1);
+            let (mut server, _) = listener.accept().await.unwrap();
+            let Some(Message::Link(up)) = messages.recv().await else { panic!("no connection") };
+            pool.note(now, up);
+            assert_eq!(send(&mut pool, 2), 0);
+            server.read_exact(&mut [0; 30]).await.unwrap();
+            server.write_all(b"\0\0\0\x20Aq1.0 ok 1 -\nhalf").await.unwrap();
+            // No new connection is dialled as long as the old one is taken.
+            let mut number = 3;
+            while send(&mut pool, number) == 0 {
+                pool.cancel(now, Attempt { part: RequestId(number), number: 0 });
+                tokio::task::yield_now().await;
+                number += 1;
+            }
+            let link = pool.links.values().next().unwrap();
+            assert!(link.shared.spent.get() && link.silence(now) == 0.0, "not for its silence");
+        });
+    }
+
     /// Guards against a frame that waits behind a dial and leaves after the grace of its server's drain.
     #[test]
     fn a_call_queued_behind_a_dial_is_not_sent_once_its_server_drains() {
