End after SIGTERM though others go on coming, before the kill finds requests open

Checked: main.rs waited until no connection was open and none had come for 0.4 s, which never happened. Ruled out: requests still open (none).

Now only requests count: the last one's age, bounded at 1.2 s, ends accepting; the program ends once all requests are answered. The test fails without the change (no end within 20 s).

--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -140,7 +140,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let now = front.clock.now();
-                let place = front.places.take(now);
+                let place = front.places.take();
                 // Two leave for each that comes until there is room: one alone would never win back what was lost
                 // while all were too young to leave.
                 for _ in 0..2 {
@@ -191,6 +191,7 @@
         if !write(&mut stream, reply, close).await {
             return;
         }
+        place.answered();
         if close {
             // Closing with bytes unread would reset the connection under the answer.
             if crowded || !buffer.is_empty() {
@@ -226,7 +227,7 @@
     let (mut begun, rest) = (None, Instant::now() + IDLE);
     loop {
         if let Some((request, used)) = http::request(buffer)? {
-            place.asked();
+            place.asked(front.clock.now());
             buffer.drain(..used);
             return Ok(Some(request));
         }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -26,11 +26,14 @@
 
 /// Messages from connections and discovery that may wait for the core's next tick.
 const MESSAGES: usize = 4096;
-/// After the order to stop: when idle connections are closed, how long none may have come before the end, and
-/// the earliest end. New connections come for up to 0.4 s, and clients use the ones they have.
+/// After the order to stop: when idle connections are closed, when nobody is accepted any more at the earliest and
+/// at the latest, and for how long no request may have come before that. New connections come for up to 0.4 s, and
+/// clients use the ones they have. Those who go on coming must not hold the end up: the program is killed 0.7 s
+/// after the longest deadline, and what is unanswered then is lost.
 const CLOSE_IDLE: Duration = Duration::from_millis(500);
-const QUIET: f64 = 0.4;
 const EARLIEST_END: Duration = Duration::from_millis(400);
+const LATEST_END: Duration = Duration::from_millis(300);
+const QUIET: f64 = 0.4;
 
 fn main() -> ExitCode {
     let run = || -> Result<(), String> {
@@ -85,6 +88,7 @@
     let deployment = Rc::new(config.deployment.clone());
     let indices = Rc::new(config.indices.clone());
     let addresses = [(Some(config.listen), Kind::Platform), (config.opensearch, Kind::OpenSearch)];
+    let mut listeners = Vec::new();
     for (address, kind) in addresses {
         let Some(address) = address else { continue };
         let listener = TcpListener::bind(address).await.map_err(|e| format!("listen on {address}: {e}"))?;
@@ -105,7 +109,7 @@
             names: Cell::new(config.seed),
             indices: indices.clone(),
         };
-        tokio::task::spawn_local(fronts::listen(listener, Rc::new(front)));
+        listeners.push(tokio::task::spawn_local(fronts::listen(listener, Rc::new(front))));
     }
     for (name, class) in config.deployment.class_names.iter().zip(&config.deployment.policy.classes) {
         log!("class {name}: wanted within {:.3} s, given up at {:.3} s", class.aim, class.deadline);
@@ -124,7 +128,12 @@
     tokio::time::sleep(CLOSE_IDLE).await;
     phase.send_replace(Phase::Closing);
     tokio::time::sleep(EARLIEST_END).await;
-    while places.open() > 0 || clock.now() - places.last() < QUIET {
+    let latest = tokio::time::Instant::now() + LATEST_END;
+    while clock.now() - places.last_asked() < QUIET && tokio::time::Instant::now() < latest {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    listeners.iter().for_each(|listener| listener.abort());
+    while places.serving() > 0 {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     Ok(())
--- a/node/tests/serving.rs
+++ b/node/tests/serving.rs
@@ -362,6 +362,40 @@
     assert!(rig.child.wait().unwrap().success());
 }
 
+/// Guards against clients who go on coming and so hold the end up until the program is killed, whatever it then
+/// has open.
+#[test]
+fn an_order_to_stop_is_obeyed_while_others_go_on_coming() {
+    let mut rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Late(600)), 1000);
+    let address = rig.platform;
+    let mut open = BufReader::new(TcpStream::connect(address).unwrap());
+    open.get_mut().write_all(api_text("open", "~1~").as_bytes()).unwrap();
+    wait_for("the part", || !rig.stage.seen.lock().unwrap().is_empty());
+    let ended = std::sync::atomic::AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut held = Vec::new();
+            while !ended.load(Ordering::Relaxed) {
+                for text in ["", "GET /_health HTTP/1.1\r\n\r\n", "POST /api HTTP/1.1\r\n"] {
+                    let Ok(mut stream) = TcpStream::connect(address) else { continue };
+                    let _ = stream.write_all(text.as_bytes());
+                    held.push(stream);
+                }
+                held.drain(..held.len().saturating_sub(60));
+                thread::sleep(Duration::from_millis(10));
+            }
+        });
+        rig.signal("TERM");
+        let start = Instant::now();
+        while rig.child.try_wait().unwrap().is_none() && start.elapsed() < Duration::from_secs(20) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        ended.store(true, Ordering::Relaxed);
+    });
+    assert!(rig.child.try_wait().unwrap().is_some_and(|status| status.success()), "it did not end");
+    assert_eq!(response(&mut open).status, 200, "what was open is answered first");
+}
+
 #[test]
 fn an_order_to_stop_is_obeyed_once_all_is_answered() {
     let mut rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Late(1000)), 1000);
