--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -491,6 +491,21 @@
     use crate::stages::Text;
     use cairnroad::RequestId;
 
+    /// Runs a test with a pool whose one server the test plays.
+    fn before_a_server<F: std::future::Future>(
+        test: impl FnOnce(tokio::net::TcpListener, Pool, mpsc::Receiver<Message>, Clock) -> F,
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (to_core, messages) = mpsc::channel(16);
+            let clock = Clock::new();
+            let mut pool = Pool::new(&crate::config::tests::sample(), clock.clone(), to_core);
+            pool.note_list(&list(listener.local_addr().unwrap(), ServerState::Ready), true);
+            test(listener, pool, messages, clock).await;
+        });
+    }
+
     fn list(address: SocketAddr, state: ServerState) -> Vec<(ServerId, Row)> {
         let row = Row { id: "s".into(), address, cell: 0, state, size: 1.0, ready_at: None };
         vec![(ServerId(0), row)]
@@ -506,13 +521,8 @@
     /// its silence has lasted.
     #[test]
     fn a_cancel_does_not_excuse_a_connections_silence() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        tokio::task::LocalSet::new().block_on(&runtime, async {
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let (to_core, mut messages) = mpsc::channel(16);
-            let clock = Clock::new();
-            let mut pool = Pool::new(&crate::config::tests::sample(), clock.clone(), to_core);
-            pool.note_list(&list(listener.local_addr().unwrap(), ServerState::Ready), true);
+        before_a_server(|listener, mut pool, mut messages, clock| async move {
+            let _silent = listener;
             let start = clock.now();
             // When each part is sent and cancelled, and whether it takes a new connection. The sample's aim is 1 s.
             let mut turns = vec![(0.0, 0.15, true), (5.0, 5.05, false), (6.0, 6.1, false), (7.0, 7.1, true)];
@@ -535,13 +545,7 @@
     #[test]
     fn a_connection_in_the_middle_of_an_answer_gets_nothing_new() {
         use tokio::io::{AsyncReadExt, AsyncWriteExt};
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        tokio::task::LocalSet::new().block_on(&runtime, async {
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let (to_core, mut messages) = mpsc::channel(16);
-            let clock = Clock::new();
-            let mut pool = Pool::new(&crate::config::tests::sample(), clock.clone(), to_core);
-            pool.note_list(&list(listener.local_addr().unwrap(), ServerState::Ready), true);
+        before_a_server(|listener, mut pool, mut messages, clock| async move {
             let now = clock.now();
             let send = |pool: &mut Pool, number| {
                 pool.stage(ServerId(0), job(Attempt { part: RequestId(number), number: 0 }, &clock));
@@ -569,15 +573,9 @@
     /// Guards against a frame that waits behind a dial and leaves after the grace of its server's drain.
     #[test]
     fn a_call_queued_behind_a_dial_is_not_sent_once_its_server_drains() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        tokio::task::LocalSet::new().block_on(&runtime, async {
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let (to_core, mut messages) = mpsc::channel(16);
-            let clock = Clock::new();
-            let mut pool = Pool::new(&crate::config::tests::sample(), clock.clone(), to_core);
+        before_a_server(|listener, mut pool, mut messages, clock| async move {
             let address = listener.local_addr().unwrap();
             let attempt = Attempt { part: RequestId(2), number: 0 };
-            pool.note_list(&list(address, ServerState::Ready), true);
             pool.stage(ServerId(0), job(attempt, &clock));
             let (failed, dials) = pool.flush(clock.now());
             assert_eq!((failed.len(), dials.len()), (0, 1));
