Refuse what a client sends ahead of its answers for over 2 s

Seen in the code, then shown by a test: fronts::serve answered hundreds of sound requests sent at once on one connection one by one, for as long as that took (60 requests of 0.1 s each: 6 s), while such a client is owed an end within 3 s of connecting. Ruled out: usual clients, who send one request at a time; line ends behind a body, which are no request. Now after 2 s of that the rest is refused with 429 and Retry-After (nothing of it was read, so it never ran) and the connection ends.

--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -38,6 +38,9 @@
 const LAST_GRACE: Duration = Duration::from_millis(100);
 /// What a client may send ahead while its answer is made. Clients send one request at a time.
 const MOST_AHEAD: usize = 16 * 1024;
+/// For how long a client that sends ahead of its answers is served one by one. Hundreds of requests at once are
+/// owed an end within 3 s; what wasn't read by then is refused, and never ran.
+const AHEAD: Duration = Duration::from_secs(2);
 /// A buffer of more is given back when its connection idles.
 const KEPT_BUFFER: usize = 4 * 1024;
 /// Advice where this machine has no connection left, in seconds.
@@ -164,6 +167,7 @@
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
     let mut first = Some(Instant::now() + SLOW);
+    let mut ahead = None;
     loop {
         let request = match next(front, &mut stream, &mut buffer, &place, first.take()).await {
             Ok(Some(request)) => request,
@@ -174,7 +178,7 @@
                 return linger(front, &mut stream, &place).await;
             }
         };
-        let arrived = front.clock.earliest_arrival();
+        let (arrived, begun) = (front.clock.earliest_arrival(), Instant::now());
         let crowded = front.places.busy() > front.limits.clients;
         let asked_to_close = request.close;
         let mut exchange = Exchange { front, stream: &mut stream, buffer: &mut buffer };
@@ -192,6 +196,14 @@
             return;
         }
         place.answered();
+        // Line ends behind a body are no request.
+        let more = buffer.iter().any(|byte| !b"\r\n".contains(byte));
+        ahead = ahead.filter(|_| more).or(more.then_some(begun));
+        if !close && ahead.is_some_and(|since| since.elapsed() > AHEAD) {
+            let reply = refusal_of(front, 429, "one request at a time: the rest is refused");
+            let _ = write(&mut stream, reply.with("Retry-After", "1".into()), true).await;
+            return linger(front, &mut stream, &place).await;
+        }
         if close {
             // Closing with bytes unread would reset the connection under the answer.
             if crowded || !buffer.is_empty() {
--- a/node/tests/serving.rs
+++ b/node/tests/serving.rs
@@ -362,6 +362,24 @@
     assert!(rig.child.wait().unwrap().success());
 }
 
+/// Guards against a client that sends hundreds of requests at once and holds a place until all are served.
+#[test]
+fn what_is_sent_ahead_for_too_long_is_refused() {
+    let rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Late(100)), 1000);
+    let mut client = BufReader::new(TcpStream::connect(rig.platform).unwrap());
+    let all: String = (0..60).map(|number| api_text(&format!("p{number}"), "~1~") + "\r\n").collect();
+    client.get_mut().write_all(all.as_bytes()).unwrap();
+    let (mut served, mut told) = (0, response(&mut client));
+    while told.status == 200 {
+        served += 1;
+        told = response(&mut client);
+    }
+    assert!(served > 0 && rig.stage.seen.lock().unwrap().len() == served, "{served} served");
+    assert_eq!((told.status, told.fields["connection"].as_str()), (429, "close"));
+    assert!(told.fields.contains_key("retry-after"));
+    assert_eq!(client.read(&mut [0]).unwrap(), 0);
+}
+
 /// Guards against clients who go on coming and so hold the end up until the program is killed, whatever it then
 /// has open.
 #[test]
