Give the words that all modules share a home below them all

Need: twelve files round stages/mod.rs used each other in a circle, so none could be read or changed alone. Behaviour is unchanged: code was moved, none was rewritten.

--- a/node/src/backends/frames.rs
+++ b/node/src/backends/frames.rs
@@ -1,9 +1,9 @@
 //! The platform's frames: length, letter, rest.
 
 use crate::http;
+use crate::link::{Command, LinkEnd};
 use crate::log;
-use crate::pool::{Command, LinkEnd, What};
-use crate::stages::{Attempt, Job, Value};
+use crate::words::{Attempt, Job, Value, What};
 use cairnroad::{Outcome, Time};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
--- a/node/src/backends/mod.rs
+++ b/node/src/backends/mod.rs
@@ -4,7 +4,7 @@
 pub mod opensearch;
 
 use crate::config::BackendKind;
-use crate::pool::LinkEnd;
+use crate::link::LinkEnd;
 
 /// Starts a connection's task.
 pub fn spawn(kind: BackendKind, end: LinkEnd) {
--- a/node/src/backends/opensearch.rs
+++ b/node/src/backends/opensearch.rs
@@ -1,9 +1,9 @@
 //! The query API as a server's wire: each part is a search of one shard, one request at a time on a connection.
 
 use crate::http;
+use crate::link::{Command, LinkEnd};
 use crate::log;
-use crate::pool::{Command, LinkEnd, What};
-use crate::stages::{Job, Text, Value};
+use crate::words::{Job, Text, Value, What};
 use cairnroad::{Outcome, Time};
 use serde::Deserialize;
 use serde_json::json;
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -2,6 +2,7 @@
 //! `NODE_CONFIG` names, and this project's own file under `deploy/`. Errors name the faulty key.
 
 use crate::discovery;
+use crate::words::News;
 use cairnroad_settings::Deployment;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -21,7 +22,7 @@
     pub seed: u64,
     pub limits: Limits,
     /// The list as an earlier life had it.
-    pub known: discovery::News,
+    pub known: News,
     pub deployment: Deployment,
     /// Where the second front listens, if it is on.
     pub opensearch: Option<SocketAddr>,
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use crate::http;
 use crate::log;
-use crate::stages::Message;
+use crate::words::{Message, News, Row};
 use cairnroad::{ListNews, Listed, ServerId, ServerState, Time};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -51,25 +51,6 @@
     members: Vec<Box<RawValue>>,
 }
 
-/// What an answer says.
-#[derive(Clone, Debug, Default)]
-pub struct News {
-    pub revision: u64,
-    pub complete: bool,
-    pub rows: Vec<Row>,
-}
-
-/// One server's line, understood.
-#[derive(Clone, Debug)]
-pub struct Row {
-    pub id: String,
-    pub address: SocketAddr,
-    pub cell: u32,
-    pub state: ServerState,
-    pub size: f64,
-    pub ready_at: Option<Time>,
-}
-
 impl Page {
     /// What the page says. A line that can't be read costs nobody but its own server, which counts as left out.
     pub fn news(self) -> News {
--- /dev/null
+++ b/node/src/fronts/exchange.rs
@@ -0,0 +1,110 @@
+//! What the fronts share: what a connection of theirs holds, a reply, and the wait for final answers under watch for
+//! a client that goes away.
+
+use super::places::Places;
+use crate::clock::Clock;
+use crate::config::{Index, Limits};
+use crate::stages::intake;
+use crate::words::{Answer, Ask, Phase, Request};
+use cairnroad_settings::Deployment;
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+
+/// What a client may send ahead while its answer is made. Clients send one request at a time.
+const MOST_AHEAD: usize = 16 * 1024;
+/// Advice where this machine has no connection left, in seconds.
+pub const CROWDED_ADVICE: f64 = 1.0;
+
+/// What every connection of a front holds.
+pub struct Front {
+    pub deployment: Rc<Deployment>,
+    pub core: mpsc::Sender<Ask>,
+    pub clock: Clock,
+    pub phase: watch::Receiver<Phase>,
+    pub limits: Limits,
+    /// Where the connections of all fronts are counted.
+    pub places: Rc<Places>,
+    pub kind: Kind,
+    /// Names for requests that bring none.
+    pub names: Cell<u64>,
+    /// What the query API's clients may name.
+    pub indices: Rc<Vec<Index>>,
+}
+
+impl Front {
+    /// A name for a request that brings none: unlike any other of this or another coordinator's.
+    pub fn fresh_name(&self) -> String {
+        let number = self.names.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.names.set(number);
+        let mixed = (number ^ (number >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        format!("{:016x}", mixed ^ (mixed >> 29))
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Platform,
+    OpenSearch,
+}
+
+/// A response on its way out.
+pub struct Reply {
+    pub status: u16,
+    pub kind: &'static str,
+    pub extra: Vec<(&'static str, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    pub fn json(status: u16, body: Vec<u8>) -> Self {
+        Reply { status, kind: "application/json", extra: Vec::new(), body }
+    }
+
+    pub fn with(mut self, name: &'static str, value: String) -> Self {
+        self.extra.push((name, value));
+        self
+    }
+}
+
+/// One request's way to the core and back; `Err`: its client is gone.
+pub struct Exchange<'a> {
+    pub front: &'a Front,
+    pub stream: &'a mut TcpStream,
+    pub buffer: &'a mut Vec<u8>,
+}
+
+impl Exchange<'_> {
+    /// Hands the requests to the core together and waits for their final answers. A client that closes its
+    /// connection meanwhile has gone away, which withdraws them.
+    pub async fn ask(&mut self, requests: Vec<Request>) -> Result<Vec<Answer>, ()> {
+        let handed = requests.into_iter().map(|request| intake::hand_over(&self.front.core, request));
+        let waiting: Vec<_> = handed.collect();
+        let answers = async {
+            let mut all = Vec::with_capacity(waiting.len());
+            for answer in waiting {
+                all.push(answer.await.unwrap_or(Answer::Failed { late: false }));
+            }
+            all
+        };
+        tokio::pin!(answers);
+        loop {
+            let room = self.buffer.len() < MOST_AHEAD;
+            tokio::select! {
+                biased;
+                all = &mut answers => return Ok(all),
+                read = self.stream.read_buf(self.buffer), if room => match read {
+                    Ok(0) | Err(_) => return Err(()),
+                    Ok(_) => {}
+                },
+            }
+        }
+    }
+}
+
+/// Seconds of advice, to the millisecond.
+pub fn decimal(secs: f64) -> String {
+    format!("{:.3}", secs.max(0.001))
+}
--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -1,22 +1,20 @@
 //! The fronts: a client's wire as requests, and final answers as that wire has them. What both share is here:
 //! the listener, the life of a client's connection, and the watch for a client that goes away.
 
+pub mod exchange;
 pub mod opensearch;
 pub mod places;
 pub mod platform;
 
-use crate::config::{Index, Limits};
 use crate::http;
 use crate::log;
-use crate::stages::{intake, Answer, Ask, Clock, Phase, Request};
-use cairnroad_settings::Deployment;
-use places::{Place, Places};
-use std::cell::Cell;
+use crate::words::Phase;
+use exchange::{Exchange, Front, Kind, Reply};
+use places::Place;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 /// How long a connection may idle between two requests. Clients that stay for good would take up all places;
@@ -36,101 +34,11 @@
 const UNREAD: Duration = Duration::from_secs(5);
 /// How long an idle connection is still read once the program closes.
 const LAST_GRACE: Duration = Duration::from_millis(100);
-/// What a client may send ahead while its answer is made. Clients send one request at a time.
-const MOST_AHEAD: usize = 16 * 1024;
 /// For how long a client that sends ahead of its answers is served one by one. Hundreds of requests at once are
 /// owed an end within 3 s; what wasn't read by then is refused, and never ran.
 const AHEAD: Duration = Duration::from_secs(2);
 /// A buffer of more is given back when its connection idles.
 const KEPT_BUFFER: usize = 4 * 1024;
-/// Advice where this machine has no connection left, in seconds.
-pub const CROWDED_ADVICE: f64 = 1.0;
-
-/// What every connection of a front holds.
-pub struct Front {
-    pub deployment: Rc<Deployment>,
-    pub core: mpsc::Sender<Ask>,
-    pub clock: Clock,
-    pub phase: watch::Receiver<Phase>,
-    pub limits: Limits,
-    /// Where the connections of all fronts are counted.
-    pub places: Rc<Places>,
-    pub kind: Kind,
-    /// Names for requests that bring none.
-    pub names: Cell<u64>,
-    /// What the query API's clients may name.
-    pub indices: Rc<Vec<Index>>,
-}
-
-impl Front {
-    /// A name for a request that brings none: unlike any other of this or another coordinator's.
-    pub fn fresh_name(&self) -> String {
-        let number = self.names.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
-        self.names.set(number);
-        let mixed = (number ^ (number >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        format!("{:016x}", mixed ^ (mixed >> 29))
-    }
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Kind {
-    Platform,
-    OpenSearch,
-}
-
-/// A response on its way out.
-pub struct Reply {
-    pub status: u16,
-    pub kind: &'static str,
-    pub extra: Vec<(&'static str, String)>,
-    pub body: Vec<u8>,
-}
-
-impl Reply {
-    pub fn json(status: u16, body: Vec<u8>) -> Self {
-        Reply { status, kind: "application/json", extra: Vec::new(), body }
-    }
-
-    pub fn with(mut self, name: &'static str, value: String) -> Self {
-        self.extra.push((name, value));
-        self
-    }
-}
-
-/// One request's way to the core and back; `Err`: its client is gone.
-pub struct Exchange<'a> {
-    front: &'a Front,
-    stream: &'a mut TcpStream,
-    buffer: &'a mut Vec<u8>,
-}
-
-impl Exchange<'_> {
-    /// Hands the requests to the core together and waits for their final answers. A client that closes its
-    /// connection meanwhile has gone away, which withdraws them.
-    pub async fn ask(&mut self, requests: Vec<Request>) -> Result<Vec<Answer>, ()> {
-        let handed = requests.into_iter().map(|request| intake::hand_over(&self.front.core, request));
-        let waiting: Vec<_> = handed.collect();
-        let answers = async {
-            let mut all = Vec::with_capacity(waiting.len());
-            for answer in waiting {
-                all.push(answer.await.unwrap_or(Answer::Failed { late: false }));
-            }
-            all
-        };
-        tokio::pin!(answers);
-        loop {
-            let room = self.buffer.len() < MOST_AHEAD;
-            tokio::select! {
-                biased;
-                all = &mut answers => return Ok(all),
-                read = self.stream.read_buf(self.buffer), if room => match read {
-                    Ok(0) | Err(_) => return Err(()),
-                    Ok(_) => {}
-                },
-            }
-        }
-    }
-}
 
 /// Accepts for as long as the program lives.
 pub async fn listen(listener: TcpListener, front: Rc<Front>) {
@@ -326,8 +234,3 @@
         _ => refusal_of(front, 405, "only GET is answered here").with("Allow", "GET".into()),
     }
 }
-
-/// Seconds of advice, to the millisecond.
-pub fn decimal(secs: f64) -> String {
-    format!("{:.3}", secs.max(0.001))
-}
--- a/node/src/fronts/opensearch.rs
+++ b/node/src/fronts/opensearch.rs
@@ -1,10 +1,10 @@
 //! The query API: `_search` and `_msearch` in OpenSearch's form. An index is a class of query over a range of
 //! shards; each shard is one part.
 
-use super::{Exchange, Front, Reply, CROWDED_ADVICE};
+use super::exchange::{Exchange, Front, Reply, CROWDED_ADVICE};
 use crate::config::Index;
 use crate::http;
-use crate::stages::{Answer, PartAnswer, PartSpec, Request, Text, Value};
+use crate::words::{Answer, PartAnswer, PartSpec, Request, Text, Value};
 use cairnroad::Time;
 use serde::{Deserialize, Serialize};
 use serde_json::value::{to_raw_value, RawValue};
--- a/node/src/fronts/platform.rs
+++ b/node/src/fronts/platform.rs
@@ -1,8 +1,8 @@
 //! The platform's own protocol: `POST /api` with the class and the deadline in header fields.
 
-use super::{decimal, Exchange, Front, Reply, CROWDED_ADVICE};
+use super::exchange::{decimal, Exchange, Front, Reply, CROWDED_ADVICE};
 use crate::http;
-use crate::stages::{Answer, PartSpec, Request, Text, Value};
+use crate::words::{Answer, PartSpec, Request, Text, Value};
 use cairnroad::Time;
 use cairnroad_settings::Deployment;
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/node/src/link.rs
@@ -0,0 +1,110 @@
+//! A connection to a server, as the task that holds its socket sees it: the core's commands come by a bounded queue,
+//! and what comes of them is told. The core's end is `pool`; the tasks are in `backends`.
+
+use crate::clock::Clock;
+use crate::words::{Attempt, Job, LinkEvent, Message, Value, What};
+use cairnroad::Outcome;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::{mpsc, Notify};
+
+/// What the core asks of a connection.
+pub enum Command {
+    /// Parts that make up one call.
+    Call(Vec<Job>),
+    Cancel(Attempt),
+    Probe,
+}
+
+/// What both ends of a connection see at once.
+#[derive(Default)]
+pub struct Shared {
+    /// Nothing new may be written: its server drains or is gone.
+    pub barred: Cell<bool>,
+    /// Nothing new should be queued: the connection is about to be closed for what came on it, or stands in the
+    /// middle of an answer.
+    pub spent: Cell<bool>,
+    /// The core is done with the connection.
+    pub ended: Notify,
+}
+
+impl Shared {
+    /// Resolves once the core is done with the connection.
+    pub async fn done(&self) {
+        self.ended.notified().await;
+    }
+}
+
+/// The task's end of a connection.
+pub struct LinkEnd {
+    pub id: u64,
+    pub address: SocketAddr,
+    pub commands: mpsc::Receiver<Command>,
+    pub shared: Rc<Shared>,
+    pub clock: Clock,
+    /// Names of a load report's values, in the settings' order.
+    pub report_names: Arc<[String]>,
+    pub core: mpsc::Sender<Message>,
+}
+
+impl LinkEnd {
+    pub fn barred(&self) -> bool {
+        self.shared.barred.get()
+    }
+
+    /// Keeps the core from queuing more here, from now on and not only once it hears of the end.
+    pub fn spend(&self) {
+        self.set_spent(true);
+    }
+
+    pub fn set_spent(&self, spent: bool) {
+        self.shared.spent.set(spent);
+    }
+
+    pub async fn tell(&self, what: What) {
+        let _ = self.core.send(Message::Link(LinkEvent { link: self.id, what })).await;
+    }
+
+    pub async fn ended(&self, attempt: Attempt, outcome: Outcome, value: Option<Value>) {
+        self.tell(What::Ended { attempt, outcome, value }).await;
+    }
+
+    /// Dials; `None` if that fails or the core ends it first.
+    pub async fn dial(&self) -> Option<tokio::net::TcpStream> {
+        tokio::select! {
+            biased;
+            () = self.shared.done() => None,
+            stream = tokio::net::TcpStream::connect(self.address) => {
+                let stream = stream.ok()?;
+                let _ = stream.set_nodelay(true);
+                self.tell(What::Up).await;
+                Some(stream)
+            }
+        }
+    }
+
+    /// Reports what never reached the wire, then the end. `why` says that it never ran: no connection, or, where
+    /// the connection was closed from here, never sent, which says nothing of the server's health.
+    pub async fn close(mut self, unsent: Vec<Job>, why: Outcome) {
+        for job in unsent {
+            self.ended(job.attempt, why, None).await;
+        }
+        self.commands.close();
+        while let Ok(command) = self.commands.try_recv() {
+            match command {
+                Command::Call(jobs) => {
+                    for job in jobs {
+                        self.ended(job.attempt, why, None).await;
+                    }
+                }
+                Command::Probe => {
+                    self.tell(What::Probed { outcome: Outcome::ConnectFailed, report: Vec::new() }).await
+                }
+                Command::Cancel(_) => {}
+            }
+        }
+        self.tell(What::Closed).await;
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -2,19 +2,23 @@
 //! sends their parts to servers over one of two backends. See `ARCHITECTURE.md`.
 
 mod backends;
+mod clock;
 mod config;
 mod discovery;
 mod fronts;
 mod http;
+mod link;
 mod log;
 #[cfg(test)]
 mod parser_tests;
 mod pool;
 mod stages;
 mod wheel;
+mod words;
 
-use fronts::{Front, Kind};
-use stages::{Clock, Core, Phase};
+use clock::Clock;
+use fronts::exchange::{Front, Kind};
+use stages::Core;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -23,6 +27,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
+use words::Phase;
 
 /// Messages from connections and discovery that may wait for the core's next tick.
 const MESSAGES: usize = 4096;
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -2,17 +2,17 @@
 //! next call takes. Each connection is a task of its own (see `backends`), reached through a bounded queue.
 
 use crate::backends;
+use crate::clock::Clock;
 use crate::config::{BackendKind, Config};
-use crate::discovery::Row;
+use crate::link::{Command, LinkEnd, Shared};
 use crate::log;
-use crate::stages::{Attempt, Brought, Clock, Ended, Job, Message, Value};
+use crate::words::{Attempt, Ended, Job, LinkEvent, Message, Row, What};
 use cairnroad::{Outcome, ServerId, ServerState, Time};
-use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::mpsc;
 
 /// Commands that may wait for a connection. One that lets them pile up has hung.
 const QUEUE: usize = 256;
@@ -25,125 +25,10 @@
 /// Idle connections are closed after this share of the time after which their other side does so.
 const IDLE_SHARE: f64 = 0.7;
 
-/// What the core asks of a connection.
-pub enum Command {
-    /// Parts that make up one call.
-    Call(Vec<Job>),
-    Cancel(Attempt),
-    Probe,
-}
-
-/// What a connection tells the core.
-pub struct LinkEvent {
-    pub link: u64,
-    pub what: What,
-}
-
-pub enum What {
-    Up,
-    /// An answer to a cancelled part.
-    Heard,
-    Ended {
-        attempt: Attempt,
-        outcome: Outcome,
-        value: Option<Value>,
-    },
-    Probed {
-        outcome: Outcome,
-        report: Vec<f64>,
-    },
-    Closed,
-}
-
-/// What both ends of a connection see at once.
-#[derive(Default)]
-pub struct Shared {
-    /// Nothing new may be written: its server drains or is gone.
-    barred: Cell<bool>,
-    /// Nothing new should be queued: the connection is about to be closed for what came on it, or stands in the
-    /// middle of an answer.
-    spent: Cell<bool>,
-    /// The core is done with the connection.
-    ended: Notify,
-}
-
-impl Shared {
-    /// Resolves once the core is done with the connection.
-    pub async fn done(&self) {
-        self.ended.notified().await;
-    }
-}
-
-/// The task's end of a connection.
-pub struct LinkEnd {
-    pub id: u64,
-    pub address: SocketAddr,
-    pub commands: mpsc::Receiver<Command>,
-    pub shared: Rc<Shared>,
-    pub clock: Clock,
-    /// Names of a load report's values, in the settings' order.
-    pub report_names: Arc<[String]>,
-    core: mpsc::Sender<Message>,
-}
-
-impl LinkEnd {
-    pub fn barred(&self) -> bool {
-        self.shared.barred.get()
-    }
-
-    /// Keeps the core from queuing more here, from now on and not only once it hears of the end.
-    pub fn spend(&self) {
-        self.set_spent(true);
-    }
-
-    pub fn set_spent(&self, spent: bool) {
-        self.shared.spent.set(spent);
-    }
-
-    pub async fn tell(&self, what: What) {
-        let _ = self.core.send(Message::Link(LinkEvent { link: self.id, what })).await;
-    }
-
-    pub async fn ended(&self, attempt: Attempt, outcome: Outcome, value: Option<Value>) {
-        self.tell(What::Ended { attempt, outcome, value }).await;
-    }
-
-    /// Dials; `None` if that fails or the core ends it first.
-    pub async fn dial(&self) -> Option<tokio::net::TcpStream> {
-        tokio::select! {
-            biased;
-            () = self.shared.done() => None,
-            stream = tokio::net::TcpStream::connect(self.address) => {
-                let stream = stream.ok()?;
-                let _ = stream.set_nodelay(true);
-                self.tell(What::Up).await;
-                Some(stream)
-            }
-        }
-    }
-
-    /// Reports what never reached the wire, then the end. `why` says that it never ran: no connection, or, where
-    /// the connection was closed from here, never sent, which says nothing of the server's health.
-    pub async fn close(mut self, unsent: Vec<Job>, why: Outcome) {
-        for job in unsent {
-            self.ended(job.attempt, why, None).await;
-        }
-        self.commands.close();
-        while let Ok(command) = self.commands.try_recv() {
-            match command {
-                Command::Call(jobs) => {
-                    for job in jobs {
-                        self.ended(job.attempt, why, None).await;
-                    }
-                }
-                Command::Probe => {
-                    self.tell(What::Probed { outcome: Outcome::ConnectFailed, report: Vec::new() }).await
-                }
-                Command::Cancel(_) => {}
-            }
-        }
-        self.tell(What::Closed).await;
-    }
+/// What a connection brought to the core's table.
+pub enum Brought {
+    Attempt(Ended),
+    Probe { server: ServerId, outcome: Outcome, report: Vec<f64> },
 }
 
 /// The core's end of a connection.
@@ -488,7 +373,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::stages::Text;
+    use crate::words::Text;
     use cairnroad::RequestId;
 
     /// Runs a test with a pool whose one server the test plays.
--- a/node/src/stages/admit.rs
+++ b/node/src/stages/admit.rs
@@ -1,6 +1,7 @@
 //! Admit: lets a request in, with ids of its own, or refuses it at once where the coordinator holds all it may.
 
-use super::{book::Book, route::Route, Answer, Ask};
+use super::{book::Book, route::Route};
+use crate::words::{Answer, Ask};
 use cairnroad::{ClassId, Event, Time};
 
 /// Advice for a request that finds the coordinator full, as a share of its class's aim.
--- a/node/src/stages/book.rs
+++ b/node/src/stages/book.rs
@@ -1,7 +1,7 @@
 //! Book: the table of open requests and their parts, and what has come in for each.
 
-use super::{Answer, Ask, Attempt, Ended, Job, PartAnswer, PartSpec, Request, Value};
 use crate::config::Config;
+use crate::words::{Answer, Ask, Attempt, Ended, Job, PartAnswer, PartSpec, Request, Value};
 use cairnroad::{Outcome, RequestId, Time};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
--- a/node/src/stages/intake.rs
+++ b/node/src/stages/intake.rs
@@ -1,6 +1,6 @@
 //! Intake: the bounded queue between the fronts and the core.
 
-use super::{Answer, Ask, Request};
+use crate::words::{Answer, Ask, Request};
 use tokio::sync::{mpsc, oneshot};
 
 /// Requests that may wait for the core's next tick.
--- a/node/src/stages/relay.rs
+++ b/node/src/stages/relay.rs
@@ -1,7 +1,7 @@
 //! Relay: words the decisions' final answers and gives each to its front, once.
 
 use super::book::Book;
-use super::Answer;
+use crate::words::Answer;
 use cairnroad::{Action, Time};
 
 /// Advice where the decisions give none, in seconds.
--- a/node/src/stages/send.rs
+++ b/node/src/stages/send.rs
@@ -1,9 +1,10 @@
 //! Send: carries the decisions' sends, cancels, probes and timers to the pool and the wheel. Sends of one tick
 //! to one server leave together.
 
-use super::{book::Book, Due, Ended};
+use super::book::Book;
 use crate::pool::Pool;
-use crate::wheel::Wheel;
+use crate::wheel::{Due, Wheel};
+use crate::words::{Attempt, Ended};
 use cairnroad::{Action, Time};
 
 pub fn carry(now: Time, action: &Action, book: &mut Book, pool: &mut Pool, wheel: &mut Wheel<Due>) {
@@ -14,7 +15,7 @@
                 pool.stage(server, job);
             }
         }
-        Action::Cancel { part, attempt } => pool.cancel(now, super::Attempt { part, number: attempt }),
+        Action::Cancel { part, attempt } => pool.cancel(now, Attempt { part, number: attempt }),
         Action::Probe(server) => pool.probe(server),
         Action::Wake(at) => wheel.insert(at, Due::Wake),
         // The watch asks by itself; finals are the relay's.
--- a/node/src/wheel.rs
+++ b/node/src/wheel.rs
@@ -2,10 +2,23 @@
 //! fires in the first turn at or after the end of its tick. Nothing is taken back: whoever gets an item asks
 //! whether it still matters.
 
+use crate::words::Attempt;
 use cairnroad::Time;
 
 const SLOTS: i64 = 1024;
 
+/// What a turn of the core's wheel brings.
+pub enum Due {
+    /// The decisions asked to be called.
+    Wake,
+    /// An attempt's time is up.
+    Attempt(Attempt),
+    /// A connection should be up by now.
+    Dial(u64),
+    /// Idle connections are looked for.
+    Sweep,
+}
+
 /// Items by the tick in which they fall due.
 pub struct Wheel<T> {
     tick: i64,
--- /dev/null
+++ b/node/src/words.rs
@@ -0,0 +1,175 @@
+//! The words that all parts of the program share: requests, attempts, outcomes and news, without any wire. It uses
+//! nothing of the program, so that stages, pool, backends, fronts and discovery can each be read alone.
+
+use cairnroad::{Outcome, RequestId, ServerState, Time};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// One part of a request: a shard, and its share of the whole answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PartSpec {
+    pub shard: u32,
+    pub weight: f64,
+}
+
+/// What every part carries, unchanged.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Text {
+    /// A text that is nobody's but the client's and the servers'.
+    Plain(Arc<str>),
+    /// A JSON object of the query language.
+    Query(Arc<str>),
+}
+
+impl Text {
+    pub fn as_str(&self) -> &str {
+        match self {
+            Text::Plain(text) | Text::Query(text) => text,
+        }
+    }
+}
+
+/// A request, whichever front it came by.
+#[derive(Debug)]
+pub struct Request {
+    /// Its name among servers.
+    pub name: Arc<str>,
+    pub class: usize,
+    /// When its client stops waiting.
+    pub due: Time,
+    pub repeat: bool,
+    /// Expected work in seconds, if the client told.
+    pub work: Option<f64>,
+    pub parts: Vec<PartSpec>,
+    pub text: Text,
+}
+
+/// What a server gave for a part, byte by byte as it came.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    /// A value that is nobody's but the server's and the client's.
+    Plain(Arc<[u8]>),
+    /// A hits object of the query language.
+    Hits(Arc<str>),
+}
+
+/// What became of one part of an answered request.
+#[derive(Clone, Debug)]
+pub struct PartAnswer {
+    pub shard: u32,
+    /// Its value, or why there is none.
+    pub value: Result<Value, &'static str>,
+}
+
+/// The one final answer.
+#[derive(Clone, Debug)]
+pub enum Answer {
+    Served {
+        whole: bool,
+        parts: Vec<PartAnswer>,
+    },
+    /// Trying again is harmless, after so many seconds.
+    Refused {
+        retry_after: f64,
+        busy: bool,
+    },
+    /// Nothing is promised.
+    Failed {
+        late: bool,
+    },
+    /// Not taken: its name was used before.
+    Repeated,
+}
+
+/// A request and where its answer goes. A front that drops the other end has lost its client.
+#[derive(Debug)]
+pub struct Ask {
+    pub request: Request,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// One attempt of a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Attempt {
+    pub part: RequestId,
+    pub number: u8,
+}
+
+/// An attempt as a backend sends it.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub attempt: Attempt,
+    /// The request's name, the class's name and the shard.
+    pub name: Arc<str>,
+    pub class: Arc<str>,
+    pub shard: u32,
+    pub text: Text,
+    pub until: Time,
+}
+
+/// How an attempt ended, and what it brought.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    pub attempt: Attempt,
+    pub outcome: Outcome,
+    pub value: Option<Value>,
+}
+
+/// What an answer says.
+#[derive(Clone, Debug, Default)]
+pub struct News {
+    pub revision: u64,
+    pub complete: bool,
+    pub rows: Vec<Row>,
+}
+
+/// One server's line, understood.
+#[derive(Clone, Debug)]
+pub struct Row {
+    pub id: String,
+    pub address: SocketAddr,
+    pub cell: u32,
+    pub state: ServerState,
+    pub size: f64,
+    pub ready_at: Option<Time>,
+}
+
+/// What a connection tells the core.
+pub struct LinkEvent {
+    pub link: u64,
+    pub what: What,
+}
+
+pub enum What {
+    Up,
+    /// An answer to a cancelled part.
+    Heard,
+    Ended {
+        attempt: Attempt,
+        outcome: Outcome,
+        value: Option<Value>,
+    },
+    Probed {
+        outcome: Outcome,
+        report: Vec<f64>,
+    },
+    Closed,
+}
+
+/// What reaches the core from outside its task.
+pub enum Message {
+    News(News),
+    Link(LinkEvent),
+}
+
+/// The state that `/_health` and the connections of a stopping program go by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Starting,
+    Serving,
+    /// Told to stop: all that comes is still answered.
+    Stopping,
+    /// Idle connections are closed.
+    Closing,
+}
