Add a crate that reads OpenAPI and AsyncAPI descriptions and judges messages

Need: integrators ask what the coordinator accepts and returns; the documents under api/ were read by tests only. Nothing uses it yet.

--- /dev/null
+++ b/contract/src/decide.rs
@@ -0,0 +1,232 @@
+//! What is done about a departure: which traffic is looked at, what is refused, what counts as failed, and which
+//! descriptions are in force. Free of I/O and clock.
+
+use crate::check::{Departs, Departure};
+use crate::drift::Interface;
+use crate::model::Description;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// How an interface's traffic is held against its description.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Mode {
+    /// Not at all: nothing is read and nothing costs.
+    #[default]
+    Off,
+    /// Aside: departures are told, and change nothing.
+    Observe,
+    /// Before anything is done with a message: one that departs is not used.
+    Enforce,
+}
+
+/// Takes a share of the messages, evenly: of a share of 0.25 every fourth.
+#[derive(Clone, Debug)]
+pub struct Sampler {
+    share: f64,
+    credit: f64,
+}
+
+impl Sampler {
+    /// For a share from 0 to 1. The first message is taken, so that a share however small shows something.
+    pub fn new(share: f64) -> Sampler {
+        let share = if share.is_finite() { share.clamp(0.0, 1.0) } else { 0.0 };
+        Sampler { share, credit: if share > 0.0 { 1.0 - share } else { 0.0 } }
+    }
+
+    /// Whether the next message is looked at.
+    pub fn take(&mut self) -> bool {
+        self.credit += self.share;
+        // A sum of shares such as 0.1 falls short of 1 by less than this.
+        let take = self.credit >= 1.0 - 1e-9;
+        if take {
+            self.credit -= 1.0;
+        }
+        take
+    }
+}
+
+/// Room for messages that wait to be looked at. What finds none is counted, never waited for.
+#[derive(Clone, Debug)]
+pub struct Room {
+    messages: usize,
+    bytes: usize,
+    most_messages: usize,
+    most_bytes: usize,
+    /// Messages that found no room.
+    pub missed: u64,
+}
+
+impl Room {
+    /// For so many messages of so many bytes in all.
+    pub fn new(most_messages: usize, most_bytes: usize) -> Room {
+        Room { messages: 0, bytes: 0, most_messages, most_bytes, missed: 0 }
+    }
+
+    /// Whether a message may wait; if so, its room is taken.
+    pub fn enter(&mut self, bytes: usize) -> bool {
+        if self.messages >= self.most_messages || bytes > self.most_bytes - self.bytes {
+            self.missed += 1;
+            return false;
+        }
+        self.messages += 1;
+        self.bytes += bytes;
+        true
+    }
+
+    /// A message no longer waits.
+    pub fn leave(&mut self, bytes: usize) {
+        self.messages = self.messages.saturating_sub(1);
+        self.bytes = self.bytes.saturating_sub(bytes);
+    }
+}
+
+/// What becomes of a client's request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Request {
+    /// It is served as ever.
+    Serve,
+    /// It is answered 400 with this reason, and nothing is sent for it.
+    Refuse(String),
+}
+
+/// Judges a request. One whose path or method is not described is left to the front, which words that itself: a
+/// description may cover a part of an interface, such as all but its health page.
+pub fn request(mode: Mode, departures: &[Departure]) -> Request {
+    match departures.first() {
+        Some(first) if mode == Mode::Enforce && first.kind != Departs::Unknown => {
+            let more = departures.len() - 1;
+            let more = if more > 0 { format!("; {more} more") } else { String::new() };
+            Request::Refuse(format!(
+                "{}: wanted {}, found {}{more}",
+                first.place, first.expected, first.found
+            ))
+        }
+        _ => Request::Serve,
+    }
+}
+
+/// Whether a server's answer may be used for what it says. One that departs under `enforce` is a failed attempt that
+/// may have run, whatever it claims: a server that does not keep to its description is not believed that it never
+/// began, either.
+pub fn usable(mode: Mode, departures: &[Departure]) -> bool {
+    mode != Mode::Enforce || departures.is_empty()
+}
+
+/// An interface with the description that its traffic is held against.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// How.
+    pub mode: Mode,
+    /// The share of messages that is looked at under `observe`.
+    pub share: f64,
+    /// Against what.
+    pub description: Arc<Description>,
+}
+
+/// All descriptions in force at one time. A request keeps the ones that were in force when it came.
+#[derive(Clone, Debug, Default)]
+pub struct InForce {
+    /// Counts up with each change.
+    pub generation: u64,
+    by: BTreeMap<Interface, Held>,
+}
+
+impl InForce {
+    /// The description of an interface; `None` where it is off.
+    pub fn of(&self, interface: Interface) -> Option<&Held> {
+        self.by.get(&interface)
+    }
+
+    /// Whether nothing is looked at at all.
+    pub fn is_off(&self) -> bool {
+        self.by.is_empty()
+    }
+
+    /// All that are on.
+    pub fn all(&self) -> impl Iterator<Item = (Interface, &Held)> {
+        self.by.iter().map(|(interface, held)| (*interface, held))
+    }
+
+    /// What is in force after these were read: all of them or, where one is at fault, none. Without them, `self`
+    /// stays.
+    pub fn next(&self, read: Vec<(Interface, Result<Held, String>)>) -> Result<InForce, String> {
+        let faults: Vec<String> = read
+            .iter()
+            .filter_map(|(interface, held)| Some(format!("contract.{interface}: {}", held.as_ref().err()?)))
+            .collect();
+        if !faults.is_empty() {
+            return Err(faults.join("\n"));
+        }
+        let by = read.into_iter().filter_map(|(interface, held)| Some((interface, held.ok()?)));
+        Ok(InForce { generation: self.generation + 1, by: by.filter(|(_, h)| h.mode != Mode::Off).collect() })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn departure(kind: Departs) -> Departure {
+        let text = |text: &str| text.to_string();
+        Departure {
+            kind,
+            place: text("body /q"),
+            described: text("#"),
+            expected: text("x"),
+            found: text("y"),
+        }
+    }
+
+    #[test]
+    fn a_share_is_taken_evenly_and_the_first_always() {
+        for (share, of) in [(1.0, 1000), (0.1, 100), (0.25, 250), (0.003, 3)] {
+            let mut sampler = Sampler::new(share);
+            assert!(sampler.take(), "{share}");
+            let taken = 1 + (1..1000).filter(|_| sampler.take()).count();
+            assert!(taken.abs_diff(of) <= 1, "{share}: {taken}");
+        }
+        for share in [0.0, -1.0, f64::NAN] {
+            let mut sampler = Sampler::new(share);
+            assert!(!(0..1000).any(|_| sampler.take()), "{share}");
+        }
+    }
+
+    #[test]
+    fn what_finds_no_room_is_counted_and_room_comes_back() {
+        let mut room = Room::new(3, 100);
+        assert!(room.enter(60) && room.enter(40) && !room.enter(1), "bytes");
+        room.leave(60);
+        assert!(room.enter(1) && room.enter(1) && !room.enter(1), "messages");
+        assert_eq!(room.missed, 2);
+        assert!(!Room::new(3, 100).enter(101), "one that never fits");
+    }
+
+    #[test]
+    fn only_enforce_refuses_and_never_what_is_not_described() {
+        let wrong = [departure(Departs::Type), departure(Departs::Missing)];
+        let Request::Refuse(reason) = request(Mode::Enforce, &wrong) else { panic!("served") };
+        assert_eq!(reason, "body /q: wanted x, found y; 1 more");
+        assert_eq!(request(Mode::Observe, &wrong), Request::Serve);
+        assert_eq!(request(Mode::Enforce, &[departure(Departs::Unknown)]), Request::Serve);
+        assert!(
+            usable(Mode::Observe, &wrong) && usable(Mode::Enforce, &[]) && !usable(Mode::Enforce, &wrong)
+        );
+    }
+
+    #[test]
+    fn one_faulty_description_leaves_all_as_they_were() {
+        let text = r#"{"openapi":"3.1.0","info":{"title":"t","version":"1"},"paths":{}}"#;
+        let held = |mode| {
+            let description = Description::from_text("a.json", text).unwrap();
+            Ok(Held { mode, share: 1.0, description: Arc::new(description) })
+        };
+        let first = InForce::default().next(vec![(Interface::Query, held(Mode::Observe))]).unwrap();
+        let faulty =
+            vec![(Interface::Query, held(Mode::Enforce)), (Interface::Servers, Err("x.yaml: bad".into()))];
+        assert_eq!(first.next(faulty).unwrap_err(), "contract.servers: x.yaml: bad");
+        assert_eq!((first.generation, first.of(Interface::Query).unwrap().mode), (1, Mode::Observe));
+        let off = first.next(vec![(Interface::Query, held(Mode::Off))]).unwrap();
+        assert!(off.is_off() && off.generation == 2);
+    }
+}
--- /dev/null
+++ b/contract/src/drift.rs
@@ -0,0 +1,499 @@
+//! The drift ledger: which interfaces depart from their descriptions, where, since when, and on whose side. Bounded
+//! whatever comes; free of I/O and clock.
+
+use crate::check::{Departs, Departure};
+use crate::schema::Direction;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::sync::Arc;
+
+/// The most entries.
+pub const MOST_ENTRIES: usize = 512;
+/// The most entries of one interface and operation. Members' names that a sender makes up are places of their own and
+/// would push all else out; beyond this bound they share one entry.
+pub const MOST_OF_ONE: usize = 32;
+/// The most parties that an entry or an operation tells apart.
+pub const MOST_PARTIES: usize = 128;
+/// The most operations that checks are counted for.
+const MOST_OPERATIONS: usize = 1024;
+/// An entry that has not come up for so long is dropped, in seconds: what was mended should leave the list within a
+/// shift, and what comes up once an hour should stay on it.
+pub const KEPT: f64 = 2.0 * 3600.0;
+/// What stands for the places beyond [`MOST_OF_ONE`].
+const ELSEWHERE: &str = "(other places)";
+
+/// Whose traffic it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Interface {
+    /// Clients of the platform's protocol.
+    Platform,
+    /// Clients of the query API.
+    Query,
+    /// Servers, whichever wire they speak.
+    Servers,
+    /// The agent that tells the list of servers.
+    Discovery,
+}
+
+impl fmt::Display for Interface {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Interface::Platform => "platform",
+            Interface::Query => "query",
+            Interface::Servers => "servers",
+            Interface::Discovery => "discovery",
+        })
+    }
+}
+
+/// One message that was held against its description.
+#[derive(Clone, Debug)]
+pub struct Observation<'o> {
+    /// Whose traffic it is.
+    pub interface: Interface,
+    /// Who sent it: a server's id, or the kind of party where they can't be told apart.
+    pub party: &'o Arc<str>,
+    /// The operation's name.
+    pub operation: &'o str,
+    /// Which way it went.
+    pub direction: Direction,
+    /// What departs in it.
+    pub departures: &'o [Departure],
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Operation {
+    interface: Interface,
+    operation: Arc<str>,
+    direction: Direction,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Key {
+    operation: Operation,
+    place: String,
+    kind: Departs,
+}
+
+/// What is counted of a party.
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    first: f64,
+    last: f64,
+    count: u64,
+    /// Messages of the party that kept to the description before the first that did not.
+    good_before: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    first: f64,
+    last: f64,
+    count: u64,
+    example: Departure,
+    parties: BTreeMap<Arc<str>, Span>,
+    /// Departures of parties that found no room.
+    others: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Checked {
+    count: u64,
+    by: BTreeMap<Arc<str>, u64>,
+}
+
+/// A server as membership tells it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Its id.
+    pub id: Arc<str>,
+    /// When it started, in Unix seconds; `None`: long ago.
+    pub started: Option<f64>,
+}
+
+/// An entry as it is shown.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Row {
+    /// Whose traffic it is.
+    pub interface: Interface,
+    /// The operation's name.
+    pub operation: String,
+    /// Which way it went.
+    pub direction: Direction,
+    /// Where in the message; list items are `*`.
+    pub place: String,
+    /// How it departs.
+    pub kind: Departs,
+    /// Unix seconds of the first and the last one.
+    pub first: f64,
+    /// See `first`.
+    pub last: f64,
+    /// Messages that depart here.
+    pub count: u64,
+    /// `count` as a share of the messages of this operation and direction that were looked at.
+    pub share: f64,
+    /// The last one that was seen.
+    pub example: Departure,
+    /// Who sends it, and how often; the first to begin stands first.
+    pub parties: Vec<(String, u64)>,
+    /// How many of the parties whose messages were looked at send it, and of how many.
+    pub of: (usize, usize),
+    /// The row as a sentence.
+    pub summary: String,
+}
+
+/// See the module's page.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    entries: BTreeMap<Key, Entry>,
+    checked: BTreeMap<Operation, Checked>,
+    servers: BTreeMap<Arc<str>, Option<f64>>,
+    /// Messages looked at, and those of them that depart.
+    pub messages: u64,
+    /// See `messages`.
+    pub departing: u64,
+    /// Entries that were dropped for want of room.
+    pub dropped: u64,
+}
+
+/// A place with its lists' numbers left out: each item of a list is the same place of the description.
+fn place_of(place: &str) -> String {
+    let number = |step: &&str| !step.is_empty() && step.bytes().all(|b| b.is_ascii_digit());
+    place.split('/').map(|step| if number(&step) { "*" } else { step }).collect::<Vec<_>>().join("/")
+}
+
+impl Ledger {
+    /// Notes one message. Returns whether it shows something new: an entry, or a party of one.
+    pub fn note(&mut self, now: f64, seen: &Observation) -> bool {
+        self.messages += 1;
+        let operation = Operation {
+            interface: seen.interface,
+            operation: seen.operation.into(),
+            direction: seen.direction,
+        };
+        let room = self.checked.len() < MOST_OPERATIONS;
+        let mut good_before = 0;
+        if room || self.checked.contains_key(&operation) {
+            let checked = self.checked.entry(operation.clone()).or_default();
+            checked.count += 1;
+            if checked.by.len() < MOST_PARTIES || checked.by.contains_key(seen.party) {
+                let count = checked.by.entry(seen.party.clone()).or_default();
+                good_before = *count;
+                *count += 1;
+            }
+        }
+        if seen.departures.is_empty() {
+            return false;
+        }
+        self.departing += 1;
+        let mut new = false;
+        // A message counts once for each place, however many items of a list depart there.
+        let mut places = BTreeSet::new();
+        for departure in seen.departures {
+            let place = place_of(&departure.place);
+            if places.insert((place.clone(), departure.kind)) {
+                let key = Key { operation: operation.clone(), place, kind: departure.kind };
+                new |= self.enter(now, key, seen.party, departure, good_before);
+            }
+        }
+        new
+    }
+
+    fn enter(
+        &mut self,
+        now: f64,
+        mut key: Key,
+        party: &Arc<str>,
+        departure: &Departure,
+        good_before: u64,
+    ) -> bool {
+        if !self.entries.contains_key(&key) {
+            if self.entries.keys().filter(|known| known.operation == key.operation).count() >= MOST_OF_ONE {
+                key.place = ELSEWHERE.into();
+            }
+            if self.entries.len() >= MOST_ENTRIES && !self.entries.contains_key(&key) {
+                let oldest = self.entries.iter().min_by(|a, b| a.1.last.total_cmp(&b.1.last));
+                if let Some(oldest) = oldest.map(|(key, _)| key.clone()) {
+                    self.entries.remove(&oldest);
+                    self.dropped += 1;
+                }
+            }
+        }
+        let entry = self.entries.entry(key).or_insert_with(|| Entry {
+            first: now,
+            last: now,
+            count: 0,
+            example: departure.clone(),
+            parties: BTreeMap::new(),
+            others: 0,
+        });
+        let new = entry.count == 0;
+        entry.count += 1;
+        entry.last = entry.last.max(now);
+        entry.example = departure.clone();
+        if let Some(span) = entry.parties.get_mut(party) {
+            span.last = now;
+            span.count += 1;
+            return new;
+        }
+        if entry.parties.len() >= MOST_PARTIES {
+            entry.others += 1;
+            return new;
+        }
+        entry.parties.insert(party.clone(), Span { first: now, last: now, count: 1, good_before });
+        true
+    }
+
+    /// Takes in the list of servers. One that is not on it was replaced and is forgotten: what only it did leaves the
+    /// ledger with it.
+    pub fn servers(&mut self, list: &[Server]) {
+        self.servers = list.iter().map(|server| (server.id.clone(), server.started)).collect();
+        let servers = &self.servers;
+        for (operation, checked) in &mut self.checked {
+            if operation.interface == Interface::Servers {
+                checked.by.retain(|party, _| servers.contains_key(party));
+            }
+        }
+        self.entries.retain(|key, entry| {
+            if key.operation.interface == Interface::Servers {
+                entry.parties.retain(|party, _| servers.contains_key(party));
+            }
+            !entry.parties.is_empty() || entry.others > 0
+        });
+    }
+
+    /// Drops what has not come up for long.
+    pub fn age(&mut self, now: f64) {
+        self.entries.retain(|_, entry| now - entry.last <= KEPT);
+    }
+
+    /// Drops all of an interface: its description is another one now.
+    pub fn forget(&mut self, interface: Interface) {
+        self.entries.retain(|key, _| key.operation.interface != interface);
+        self.checked.retain(|operation, _| operation.interface != interface);
+    }
+
+    /// How many entries there are.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing departs.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// All entries, the latest first.
+    pub fn rows(&self) -> Vec<Row> {
+        let mut rows: Vec<Row> = self.entries.iter().map(|(key, entry)| self.row(key, entry)).collect();
+        rows.sort_by(|a, b| b.last.total_cmp(&a.last));
+        rows
+    }
+
+    /// The entry of a departure that was just noted, in one sentence.
+    pub fn summary(&self, seen: &Observation, departure: &Departure) -> Option<String> {
+        let operation = Operation {
+            interface: seen.interface,
+            operation: seen.operation.into(),
+            direction: seen.direction,
+        };
+        let mut key = Key { operation, place: place_of(&departure.place), kind: departure.kind };
+        if !self.entries.contains_key(&key) {
+            key.place = ELSEWHERE.into();
+        }
+        self.entries.get(&key).map(|entry| self.row(&key, entry).summary)
+    }
+
+    fn row(&self, key: &Key, entry: &Entry) -> Row {
+        let checked = self.checked.get(&key.operation);
+        let looked_at = checked.map_or(entry.count, |checked| checked.count).max(entry.count);
+        let mut parties: Vec<(&Arc<str>, &Span)> = entry.parties.iter().collect();
+        parties.sort_by(|a, b| a.1.first.total_cmp(&b.1.first));
+        let all = checked.map_or(parties.len(), |checked| checked.by.len()).max(parties.len());
+        Row {
+            interface: key.operation.interface,
+            operation: key.operation.operation.to_string(),
+            direction: key.operation.direction,
+            place: key.place.clone(),
+            kind: key.kind,
+            first: entry.first,
+            last: entry.last,
+            count: entry.count,
+            share: entry.count as f64 / looked_at.max(1) as f64,
+            example: entry.example.clone(),
+            of: (parties.len(), all),
+            summary: self.sentence(key, entry, &parties, all),
+            parties: parties.into_iter().map(|(party, span)| (party.to_string(), span.count)).collect(),
+        }
+    }
+
+    fn sentence(&self, key: &Key, entry: &Entry, parties: &[(&Arc<str>, &Span)], all: usize) -> String {
+        let example = &entry.example;
+        let what = format!(
+            "{}, {}: wanted {}, found {}",
+            key.operation.operation, key.place, example.expected, example.found
+        );
+        if key.operation.interface != Interface::Servers {
+            return format!(
+                "{}: {what} ({} times since {})",
+                key.operation.interface,
+                entry.count,
+                clock(entry.first)
+            );
+        }
+        const NAMED: usize = 4;
+        let names: Vec<&str> = parties.iter().take(NAMED).map(|(party, _)| party.as_ref()).collect();
+        let names = match parties.len() > NAMED {
+            true => format!("{} and {} more", names.join(", "), parties.len() - NAMED),
+            false => names.join(", "),
+        };
+        // A change in service: they kept to the description before.
+        let began = parties.iter().all(|(_, span)| span.good_before > 0);
+        let verb = if began { "began to depart" } else { "depart" };
+        let newer = if self.newer(parties) { ", all of them newer than the rest" } else { "" };
+        format!(
+            "{} of {all} servers ({names}) {verb} at {}{newer}: {what}",
+            parties.len(),
+            clock(entry.first)
+        )
+    }
+
+    /// Whether those that depart all started after all that do not.
+    fn newer(&self, parties: &[(&Arc<str>, &Span)]) -> bool {
+        let departing: BTreeSet<&Arc<str>> = parties.iter().map(|(party, _)| *party).collect();
+        let started = |id: &Arc<str>| self.servers.get(id).copied().flatten();
+        let Some(oldest) =
+            departing.iter().map(|id| started(id)).try_fold(f64::MAX, |least, at| Some(least.min(at?)))
+        else {
+            return false;
+        };
+        let rest: Vec<_> = self.servers.keys().filter(|id| !departing.contains(id)).collect();
+        // A server without a start time started long ago.
+        !rest.is_empty()
+            && !departing.is_empty()
+            && rest.iter().all(|id| started(id).unwrap_or(f64::MIN) < oldest)
+    }
+}
+
+/// The time of day of a moment in Unix seconds, in UTC.
+pub fn clock(at: f64) -> String {
+    let secs = at.max(0.0) as u64 % 86_400;
+    format!("{:02}:{:02}:{:02} UTC", secs / 3600, secs / 60 % 60, secs % 60)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn departure(place: &str) -> Departure {
+        Departure {
+            kind: Departs::Type,
+            place: place.into(),
+            described: "#/x".into(),
+            expected: "the type string".into(),
+            found: "3".into(),
+        }
+    }
+
+    fn note(ledger: &mut Ledger, now: f64, party: &str, places: &[&str]) -> bool {
+        let departures: Vec<Departure> = places.iter().map(|place| departure(place)).collect();
+        let seen = Observation {
+            interface: Interface::Servers,
+            party: &party.into(),
+            operation: "A",
+            direction: Direction::Answer,
+            departures: &departures,
+        };
+        ledger.note(now, &seen)
+    }
+
+    fn servers(ids: &[(&str, Option<f64>)]) -> Vec<Server> {
+        ids.iter().map(|(id, started)| Server { id: (*id).into(), started: *started }).collect()
+    }
+
+    #[test]
+    fn those_that_began_to_depart_are_named_with_the_moment() {
+        let mut ledger = Ledger::default();
+        ledger.servers(&servers(&[
+            ("s-1", None),
+            ("s-2", Some(40.0)),
+            ("s-3", Some(50.0)),
+            ("s-4", Some(10.0)),
+        ]));
+        for at in 0..8 {
+            for party in ["s-1", "s-2", "s-3", "s-4"] {
+                note(&mut ledger, f64::from(at), party, &[]);
+            }
+        }
+        assert!(note(&mut ledger, 43_380.0, "s-3", &["body /hits/0/doc", "body /hits/7/doc"]));
+        assert!(note(&mut ledger, 43_381.0, "s-2", &["body /hits/2/doc"]), "a new party is news");
+        assert!(!note(&mut ledger, 43_382.0, "s-2", &["body /hits/2/doc"]));
+        let rows = ledger.rows();
+        assert_eq!(rows.len(), 1, "items of a list are one place: {rows:?}");
+        assert_eq!((rows[0].place.as_str(), rows[0].count, rows[0].of), ("body /hits/*/doc", 3, (2, 4)));
+        assert!((rows[0].share - 3.0 / 35.0).abs() < 1e-9);
+        assert_eq!(
+            rows[0].summary,
+            "2 of 4 servers (s-3, s-2) began to depart at 12:03:00 UTC, all of them newer than the rest: \
+             A, body /hits/*/doc: wanted the type string, found 3"
+        );
+        // One that started as late keeps to the description: being new is not the cause.
+        ledger.servers(&servers(&[("s-1", Some(60.0)), ("s-2", Some(40.0)), ("s-3", Some(50.0))]));
+        assert!(!ledger.rows()[0].summary.contains("newer"));
+    }
+
+    #[test]
+    fn a_replaced_server_is_forgotten() {
+        let mut ledger = Ledger::default();
+        ledger.servers(&servers(&[("s-1", None), ("s-2", None)]));
+        note(&mut ledger, 1.0, "s-1", &["body /a", "body /b"]);
+        note(&mut ledger, 1.0, "s-2", &["body /a"]);
+        ledger.servers(&servers(&[("s-2", None), ("s-9", None)]));
+        let rows = ledger.rows();
+        assert_eq!(rows.len(), 1);
+        assert_eq!(rows[0].parties, [("s-2".to_string(), 1)]);
+    }
+
+    #[test]
+    fn old_entries_leave_and_a_new_description_starts_over() {
+        let mut ledger = Ledger::default();
+        note(&mut ledger, 0.0, "s-1", &["body /a"]);
+        note(&mut ledger, KEPT, "s-1", &["body /b"]);
+        ledger.age(KEPT + 1.0);
+        assert_eq!(ledger.rows().iter().map(|row| row.place.as_str()).collect::<Vec<_>>(), ["body /b"]);
+        ledger.forget(Interface::Query);
+        assert_eq!(ledger.len(), 1);
+        ledger.forget(Interface::Servers);
+        assert!(ledger.is_empty());
+    }
+
+    /// Guards against members' names that a sender makes up, which would push every other entry out or fill memory.
+    #[test]
+    fn made_up_names_and_parties_stay_within_bounds() {
+        let mut ledger = Ledger::default();
+        note(&mut ledger, 0.0, "s-1", &["body /real"]);
+        for at in 0..5_000 {
+            note(&mut ledger, f64::from(at), &format!("s-{}", at % 400), &[&format!("body /made-up-{at}")]);
+        }
+        assert!(ledger.len() <= MOST_OF_ONE + 1, "{}", ledger.len());
+        let rows = ledger.rows();
+        assert!(rows.iter().any(|row| row.place == "body /real"));
+        let other = rows.iter().find(|row| row.place == ELSEWHERE).unwrap();
+        assert!(other.count > 4_900 && other.parties.len() <= MOST_PARTIES);
+        for operation in 0..3_000 {
+            let seen = Observation {
+                interface: Interface::Platform,
+                party: &"clients".into(),
+                operation: &format!("GET /{operation}"),
+                direction: Direction::Request,
+                departures: &[departure("body")],
+            };
+            ledger.note(9_000.0 + f64::from(operation), &seen);
+        }
+        assert!(
+            ledger.len() <= MOST_ENTRIES && ledger.dropped > 2_000 && ledger.checked.len() <= MOST_OPERATIONS
+        );
+    }
+}
--- /dev/null
+++ b/contract/src/route.rs
@@ -0,0 +1,238 @@
+//! Which operation a request means: path templates, the most concrete first.
+
+/// A piece of a segment.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Piece {
+    Text(String),
+    Variable(String),
+}
+
+/// A path template, such as `/{index}/_search`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Template {
+    segments: Vec<Vec<Piece>>,
+}
+
+/// The most segments of a template.
+const MOST_SEGMENTS: usize = 64;
+
+impl Template {
+    /// Reads a template; the error says what is wrong with it.
+    pub fn read(text: &str) -> Result<Template, String> {
+        let Some(path) = text.strip_prefix('/') else { return Err("a path must begin with '/'".into()) };
+        let mut names: Vec<String> = Vec::new();
+        let mut segments = Vec::new();
+        for segment in path.split('/') {
+            let mut pieces = Vec::new();
+            let mut rest = segment;
+            while !rest.is_empty() {
+                let (text, after) =
+                    rest.split_once('{').map_or((rest, None), |(text, after)| (text, Some(after)));
+                if text.contains('}') {
+                    return Err("a '}' stands without its '{'".into());
+                }
+                if !text.is_empty() {
+                    pieces.push(Piece::Text(text.into()));
+                }
+                let Some(after) = after else { break };
+                let Some((name, after)) = after.split_once('}') else {
+                    return Err("a '{' stands without its '}'".into());
+                };
+                if name.is_empty() || name.contains('{') {
+                    return Err("a variable needs a name between '{' and '}'".into());
+                }
+                if names.iter().any(|known| known == name) {
+                    return Err(format!("the variable {{{name}}} is there twice"));
+                }
+                if matches!(pieces.last(), Some(Piece::Variable(_))) {
+                    return Err("two variables stand side by side: nothing tells where one ends".into());
+                }
+                names.push(name.into());
+                pieces.push(Piece::Variable(name.into()));
+                rest = after;
+            }
+            segments.push(pieces);
+        }
+        if segments.len() > MOST_SEGMENTS {
+            return Err(format!("a path has {MOST_SEGMENTS} segments at most"));
+        }
+        Ok(Template { segments })
+    }
+
+    /// The names of its variables.
+    pub fn variables(&self) -> impl Iterator<Item = &str> {
+        self.segments.iter().flatten().filter_map(|piece| match piece {
+            Piece::Variable(name) => Some(name.as_str()),
+            Piece::Text(_) => None,
+        })
+    }
+
+    /// The template with its variables' names left out: two of one shape match the same paths.
+    pub fn shape(&self) -> String {
+        let piece = |piece: &Piece| match piece {
+            Piece::Text(text) => text.clone(),
+            Piece::Variable(_) => "{}".into(),
+        };
+        self.segments.iter().map(|s| format!("/{}", s.iter().map(piece).collect::<String>())).collect()
+    }
+
+    /// How concrete it is, segment by segment: the most concrete sorts first.
+    fn rank(&self) -> Vec<(u8, usize)> {
+        let rank = |pieces: &Vec<Piece>| {
+            let text: usize =
+                pieces.iter().map(|p| if let Piece::Text(text) = p { text.len() } else { 0 }).sum();
+            match pieces.iter().any(|piece| matches!(piece, Piece::Variable(_))) {
+                false => (0, 0),
+                true if text > 0 => (1, usize::MAX - text),
+                true => (2, 0),
+            }
+        };
+        self.segments.iter().map(rank).collect()
+    }
+
+    /// The variables' values if the path matches, still percent-encoded.
+    fn matches<'p>(&self, path: &[&'p str]) -> Option<Vec<(&str, &'p str)>> {
+        if path.len() != self.segments.len() {
+            return None;
+        }
+        let mut values = Vec::new();
+        for (pieces, segment) in self.segments.iter().zip(path) {
+            let mut rest = *segment;
+            let mut pieces = pieces.iter().peekable();
+            while let Some(piece) = pieces.next() {
+                match (piece, pieces.peek()) {
+                    (Piece::Text(text), _) => rest = rest.strip_prefix(text.as_str())?,
+                    // The last text of a segment is looked for from its end, so that `{name}.json` takes `a.b.json`.
+                    (Piece::Variable(name), Some(Piece::Text(text))) => {
+                        let mut after = pieces.clone();
+                        after.next();
+                        let last = after.next().is_none();
+                        let at = if last { rest.rfind(text.as_str()) } else { rest.find(text.as_str()) }?;
+                        if at == 0 {
+                            return None;
+                        }
+                        values.push((name.as_str(), &rest[..at]));
+                        rest = &rest[at..];
+                    }
+                    (Piece::Variable(name), _) => {
+                        if rest.is_empty() {
+                            return None;
+                        }
+                        values.push((name.as_str(), rest));
+                        rest = "";
+                    }
+                }
+            }
+            if !rest.is_empty() {
+                return None;
+            }
+        }
+        Some(values)
+    }
+}
+
+/// A table of templates with the operation that each method of theirs stands for.
+#[derive(Clone, Debug, Default)]
+pub struct Router {
+    routes: Vec<(Template, Vec<(String, usize)>)>,
+}
+
+/// What a path leads to.
+#[derive(Debug, PartialEq)]
+pub enum Found<'r, 'p> {
+    /// The operation's number and the variables' values.
+    Operation(usize, Vec<(&'r str, &'p str)>),
+    /// The path is described, but not with this method.
+    OtherMethods(Vec<&'r str>),
+    /// No template matches.
+    Nothing,
+}
+
+impl Router {
+    /// Adds an operation. Templates are taken in any order.
+    pub fn add(&mut self, template: &Template, method: &str, operation: usize) {
+        let entry = (method.to_ascii_uppercase(), operation);
+        match self.routes.iter_mut().find(|(known, _)| known == template) {
+            Some((_, methods)) => methods.push(entry),
+            None => {
+                let at = self.routes.partition_point(|(known, _)| known.rank() <= template.rank());
+                self.routes.insert(at, (template.clone(), vec![entry]));
+            }
+        }
+    }
+
+    /// Finds the operation of a request. Where the most concrete template that matches has not the method, a less
+    /// concrete one may.
+    pub fn find<'r, 'p>(&'r self, method: &str, path: &'p str) -> Found<'r, 'p> {
+        let segments: Vec<&str> = path.strip_prefix('/').unwrap_or(path).split('/').collect();
+        let mut others = Vec::new();
+        for (template, methods) in &self.routes {
+            let Some(values) = template.matches(&segments) else { continue };
+            match methods.iter().find(|(known, _)| known == method) {
+                Some((_, operation)) => return Found::Operation(*operation, values),
+                None => others.extend(methods.iter().map(|(known, _)| known.as_str())),
+            }
+        }
+        match others.is_empty() {
+            true => Found::Nothing,
+            false => Found::OtherMethods(others),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn router(paths: &[&str]) -> Router {
+        let mut router = Router::default();
+        for (at, path) in paths.iter().enumerate() {
+            router.add(&Template::read(path).unwrap(), "get", at);
+        }
+        router
+    }
+
+    #[test]
+    fn the_most_concrete_template_wins_in_any_order() {
+        let paths = ["/{a}/{b}", "/{a}/_search", "/stock/{b}", "/stock/_search", "/{a}/x-{b}"];
+        for turn in 0..paths.len() {
+            let mut turned = paths;
+            turned.rotate_left(turn);
+            let router = router(&turned);
+            for (path, wins) in [
+                ("/stock/_search", "/stock/_search"),
+                ("/other/_search", "/{a}/_search"),
+                ("/stock/x", "/stock/{b}"),
+                ("/other/x-1", "/{a}/x-{b}"),
+                ("/other/x", "/{a}/{b}"),
+            ] {
+                let Found::Operation(at, _) = router.find("GET", path) else { panic!("{path}") };
+                assert_eq!(turned[at], wins, "{path}");
+            }
+        }
+    }
+
+    #[test]
+    fn variables_take_whole_pieces_and_never_nothing() {
+        let router = router(&["/files/{name}.json", "/{a}"]);
+        let Found::Operation(0, values) = router.find("GET", "/files/a.b.json") else { panic!() };
+        assert_eq!(values, [("name", "a.b")]);
+        assert_eq!(router.find("GET", "/files/.json"), Found::Nothing);
+        assert_eq!(router.find("GET", "/"), Found::Nothing);
+        assert_eq!(router.find("POST", "/x"), Found::OtherMethods(vec!["GET"]));
+    }
+
+    #[test]
+    fn templates_that_cannot_be_read_say_why() {
+        for (path, cause) in [
+            ("a", "begin with '/'"),
+            ("/{a", "without its '}'"),
+            ("/a}", "without its '{'"),
+            ("/{}", "needs a name"),
+            ("/{a}/{a}", "twice"),
+            ("/{a}{b}", "side by side"),
+        ] {
+            assert!(Template::read(path).unwrap_err().contains(cause), "{path}");
+        }
+    }
+}
