--- a/contract/src/model.rs
+++ b/contract/src/model.rs
@@ -311,8 +311,15 @@
                     "asyncapi" => "AsyncAPI",
                     _ => "Swagger",
                 };
-                sources
-                    .fault(&root.at(key), format!("this is {name} {}: {READ}", crate::schema::clip(&text)));
+                let known = matches!(
+                    (key, minor),
+                    ("openapi", ("3", "0" | "1")) | ("asyncapi", ("2", "6") | ("3", "0"))
+                );
+                let cause = match known {
+                    true => format!("the version must be a string such as \"{}.{}.0\"", minor.0, minor.1),
+                    false => format!("this is {name} {}: {READ}", crate::schema::clip(&text)),
+                };
+                sources.fault(&root.at(key), cause);
                 return Err(sources.faults);
             }
         };
--- a/contract/src/route.rs
+++ b/contract/src/route.rs
@@ -102,11 +102,11 @@
             while let Some(piece) = pieces.next() {
                 match (piece, pieces.peek()) {
                     (Piece::Text(text), _) => rest = rest.strip_prefix(text.as_str())?,
-                    // The last text of a segment is looked for from its end, so that `{name}.json` takes `a.b.json`.
+                    // The last text of a segment is looked for from its end, so that `{name}.{ending}` takes `a.b.json`.
                     (Piece::Variable(name), Some(Piece::Text(text))) => {
                         let mut after = pieces.clone();
                         after.next();
-                        let last = after.next().is_none();
+                        let last = !after.any(|piece| matches!(piece, Piece::Text(_)));
                         let at = if last { rest.rfind(text.as_str()) } else { rest.find(text.as_str()) }?;
                         if at == 0 {
                             return None;
--- a/contract/src/schema.rs
+++ b/contract/src/schema.rs
@@ -191,8 +191,29 @@
             if pattern.len() > MOST_PATTERN {
                 let cause = format!("the expression has {} bytes: {MOST_PATTERN} at most", pattern.len());
                 sources.fault(&loc.at("pattern"), cause);
+            } else if let Err(e) = regex::RegexBuilder::new(pattern).size_limit(MOST_PATTERN_MEMORY).build() {
+                let cause = match e {
+                    regex::Error::CompiledTooBig(most) => {
+                        format!("compiled, it takes more than {most} bytes")
+                    }
+                    // The last line says what is wrong, those before it draw where.
+                    e => e.to_string().lines().last().unwrap_or("").trim_start_matches("error: ").to_string(),
+                };
+                sources.fault(&loc.at("pattern"), format!("this expression can't be used: {cause}"));
             }
         }
+        let kinds = match value.get("type") {
+            Some(Value::Array(many)) => many.iter().collect(),
+            one => one.into_iter().collect::<Vec<_>>(),
+        };
+        const KINDS: [&str; 7] = ["array", "boolean", "integer", "null", "number", "object", "string"];
+        for kind in kinds.into_iter().filter(|kind| !kind.as_str().is_some_and(|kind| KINDS.contains(&kind)))
+        {
+            sources.fault(
+                &loc.at("type"),
+                format!("{} is no type: {} are", clip(&kind.to_string()), KINDS.join(", ")),
+            );
+        }
         if self.dialect == Dialect::OpenApi30 {
             if value.get("type").is_some_and(Value::is_array) {
                 sources.fault(&loc.at("type"), "OpenAPI 3.0 has one type, or 'nullable': true beside it");
@@ -296,6 +317,9 @@
                 _ => jsonschema::draft202012::meta::validate(schema),
             };
             if let Err(e) = checked {
+                if sources.faults.list.iter().any(|fault| fault.pointer.starts_with(&root.pointer)) {
+                    continue; // told before, in plainer words
+                }
                 let at = Loc { file: root.file, pointer: format!("{}{}", root.pointer, e.instance_path()) };
                 sources.fault(&at, format!("this is no schema: {}", clip(&e.to_string())));
             }
--- a/contract/src/tree.rs
+++ b/contract/src/tree.rs
@@ -2,7 +2,7 @@
 //! nodes. A description may come from anywhere: it must not cost more than these bounds allow.
 
 use crate::fault::Fault;
-use saphyr_parser::{Event, Marker, Parser, ScalarStyle, ScanError, Span};
+use saphyr_parser::{Event, Marker, Parser, ScalarStyle, ScanError, Span, Tag};
 use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
 use serde_json::value::RawValue;
 use serde_json::{Map, Number, Value};
@@ -284,7 +284,8 @@
                 );
                 (value.map_err(|cause| bad_at(&span.start, pointer, &cause))?, anchor)
             }
-            Event::SequenceStart(anchor, _) => {
+            Event::SequenceStart(anchor, tag) => {
+                known_tag(tag.as_deref(), "seq").map_err(|cause| bad_at(&span.start, pointer, &cause))?;
                 let mut items = Vec::new();
                 loop {
                     let (event, span) = events.next()?;
@@ -296,7 +297,8 @@
                 }
                 (Value::Array(items), anchor)
             }
-            Event::MappingStart(anchor, _) => {
+            Event::MappingStart(anchor, tag) => {
+                known_tag(tag.as_deref(), "map").map_err(|cause| bad_at(&span.start, pointer, &cause))?;
                 let mut map = Map::new();
                 loop {
                     let (event, span) = events.next()?;
@@ -364,6 +366,16 @@
     }
 }
 
+/// A tag other than the core schema's own asks for a reader's own objects.
+fn known_tag(tag: Option<&Tag>, core: &str) -> Result<(), String> {
+    match tag {
+        Some(tag) if (tag.handle.as_str(), tag.suffix.as_str()) != ("tag:yaml.org,2002:", core) => {
+            Err(format!("the tag {}{} is not read", tag.handle, tag.suffix))
+        }
+        _ => Ok(()),
+    }
+}
+
 /// A scalar by YAML 1.2's core schema.
 fn scalar(text: &str, style: ScalarStyle, tag: Option<(&str, &str)>) -> Result<Value, String> {
     match tag {
--- a/node/tests/contract.rs
+++ b/node/tests/contract.rs
@@ -320,7 +320,8 @@
     assert_eq!(answered, 90, "every query got its one answer");
     // Queries of one part at a time, by marker: those of the second class may run once only.
     let seen = stage.seen.lock().unwrap();
-    let confirms = seen.iter().filter(|seen| marker_of(&seen.text) > 10 && marker_of(&seen.text) % 2 == 0);
+    let confirms =
+        seen.iter().filter(|seen| marker_of(&seen.text) > 10 && marker_of(&seen.text).is_multiple_of(2));
     let mut once = BTreeSet::new();
     for part in confirms {
         assert!(
