--- a/contract/src/schema.rs
+++ b/contract/src/schema.rs
@@ -3,6 +3,7 @@
 //! superset of JSON Schema as draft 7.
 
 use crate::source::{Loc, Sources};
+use jsonschema::error::ValidationErrorKind;
 use jsonschema::{Draft, PatternOptions, Registry, Validator};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,6 +18,8 @@
 /// backtracking, in time linear in the text.
 const MOST_PATTERN: usize = 1_000;
 const MOST_PATTERN_MEMORY: usize = 256 * 1024;
+/// The most expressions of a description: each costs time to compile, up to some milliseconds.
+const MOST_PATTERNS: usize = 1_000;
 /// Documents are known to the compiler by their numbers under this address, which nothing is ever fetched from.
 const BASE: &str = "cairnroad:///";
 
@@ -119,6 +122,7 @@
     pub secrets: BTreeSet<String>,
     /// Whether any member goes one way only.
     one_way: bool,
+    patterns: usize,
     full: bool,
 }
 
@@ -131,6 +135,7 @@
             roots: BTreeSet::new(),
             secrets: BTreeSet::new(),
             one_way: false,
+            patterns: 0,
             full: false,
         }
     }
@@ -191,16 +196,16 @@
             if pattern.len() > MOST_PATTERN {
                 let cause = format!("the expression has {} bytes: {MOST_PATTERN} at most", pattern.len());
                 sources.fault(&loc.at("pattern"), cause);
-            } else if let Err(e) = regex::RegexBuilder::new(pattern).size_limit(MOST_PATTERN_MEMORY).build() {
-                let cause = match e {
-                    regex::Error::CompiledTooBig(most) => {
-                        format!("compiled, it takes more than {most} bytes")
-                    }
-                    // The last line says what is wrong, those before it draw where.
-                    e => e.to_string().lines().last().unwrap_or("").trim_start_matches("error: ").to_string(),
-                };
+            } else if let Err(e) = regex_syntax::Parser::new().parse(pattern) {
+                // The last line says what is wrong, those before it draw where.
+                let cause =
+                    e.to_string().lines().last().unwrap_or("").trim_start_matches("error: ").to_string();
                 sources.fault(&loc.at("pattern"), format!("this expression can't be used: {cause}"));
             }
+            self.patterns += 1;
+            if self.patterns == MOST_PATTERNS + 1 {
+                sources.fault(&loc.at("pattern"), format!("there are more than {MOST_PATTERNS} expressions"));
+            }
         }
         let kinds = match value.get("type") {
             Some(Value::Array(many)) => many.iter().collect(),
@@ -362,8 +367,24 @@
                         compiled.insert((loc.clone(), *direction), Arc::new(validator));
                     }
                     Err(e) => {
-                        let cause = format!("this schema can't be compiled: {}", clip(&e.to_string()));
-                        sources.fault(loc, cause);
+                        // The compiler names a faulty expression, but not its place.
+                        let pattern = e.instance().as_ref();
+                        let holds = |at: &&Loc| sources.get(&at.at("pattern")) == Some(pattern);
+                        let regex =
+                            matches!(e.kind(), ValidationErrorKind::Format { format } if format == "regex");
+                        match self.met.keys().find(holds).cloned().filter(|_| regex) {
+                            Some(at) => {
+                                let most = MOST_PATTERN_MEMORY;
+                                let cause =
+                                    format!("this expression takes more than {most} bytes, or can't be used");
+                                sources.fault(&at.at("pattern"), cause);
+                            }
+                            None => {
+                                let cause =
+                                    format!("this schema can't be compiled: {}", clip(&e.to_string()));
+                                sources.fault(loc, cause);
+                            }
+                        }
                     }
                 }
             }
