--- a/contract/src/diff.rs
+++ b/contract/src/diff.rs
@@ -88,7 +88,7 @@
     new: &'d Description,
     changes: BTreeSet<Change>,
     operation: String,
-    /// Pairs of schemas that are compared already, or are being compared.
+    /// Pairs of schemas of this operation that are compared already, or are being compared.
     seen: BTreeSet<(Loc, Loc, Direction)>,
 }
 
@@ -135,6 +135,7 @@
     }
 
     fn operation(&mut self, old: &Operation, new: &Operation) {
+        self.seen.clear();
         if old.name != new.name {
             self.add(Weight::Cosmetic, "path", format!("a variable's name differs: {}", new.name));
         }
@@ -272,6 +273,7 @@
         let (old, new) = (self.old, self.new);
         for message in &old.messages {
             self.operation = message.name.clone();
+            self.seen.clear();
             match new.message(&message.channel, &message.word) {
                 None => self.add(Weight::Breaking, "", "the message is gone".into()),
                 Some(now) => {
@@ -322,6 +324,8 @@
     }
 
     fn schemas(&mut self, direction: Direction, place: &str, old: &Loc, new: &Loc) {
+        // A schema that holds itself is compared once, whichever reference leads to it.
+        let (old, new) = (&bare(&self.old.sources, old), &bare(&self.new.sources, new));
         if !self.seen.insert((old.clone(), new.clone(), direction)) {
             return;
         }
@@ -540,6 +544,15 @@
     }
 }
 
+/// What a reference without siblings leads to; anything else itself.
+fn bare(sources: &Sources, loc: &Loc) -> Loc {
+    let alone = sources.get(loc).and_then(Value::as_object).is_some_and(|map| map.len() == 1);
+    match sources.reference(loc).filter(|_| alone).and_then(|_| sources.target(loc)) {
+        Some(target) => target,
+        None => loc.clone(),
+    }
+}
+
 fn join(set: &BTreeSet<String>) -> String {
     set.iter().map(String::as_str).collect::<Vec<_>>().join(", ")
 }
