--- a/contract/src/asyncapi.rs
+++ b/contract/src/asyncapi.rs
@@ -201,7 +201,7 @@
         return build.fault(&loc, format!("there are more than {MOST_MESSAGES} messages"));
     }
     let frame = build.text(&loc.at("x-frame"));
-    let name = format!("{channel} {word}");
+    let name = format!("{channel} {word}").into();
     let word = frame.unwrap_or_else(|| word.to_string());
     if build.messages.iter().any(|known| known.channel == channel && known.word == word) {
         return build.fault(at, format!("the channel '{channel}' has two messages '{word}'"));
--- a/contract/src/check.rs
+++ b/contract/src/check.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use serde_json::Value;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 /// The most departures of one message that are told: a list of ten thousand wrong numbers is one fault, not many.
 pub const MOST_DEPARTURES: usize = 16;
@@ -71,7 +72,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Judged<'d> {
     /// The operation's or message's name, if one is described.
-    pub operation: Option<&'d str>,
+    pub operation: Option<&'d Arc<str>>,
     /// The operation's number, for the answer to come.
     pub number: Option<usize>,
     /// What departs; empty where nothing does.
--- a/contract/src/diff.rs
+++ b/contract/src/diff.rs
@@ -121,7 +121,7 @@
         };
         let (before, after) = (by_shape(old), by_shape(new));
         for (key, &at) in &before {
-            self.operation = old.operations[at].name.clone();
+            self.operation = old.operations[at].name.to_string();
             match after.get(key) {
                 None => self.add(Weight::Breaking, "", "the operation is gone".into()),
                 Some(&now) => self.operation(&old.operations[at], &new.operations[now]),
@@ -129,7 +129,7 @@
         }
         for (key, &at) in after.iter().filter(|(key, _)| !before.contains_key(*key)) {
             let _ = key;
-            self.operation = new.operations[at].name.clone();
+            self.operation = new.operations[at].name.to_string();
             self.add(Weight::Compatible, "", "the operation is new".into());
         }
     }
@@ -272,7 +272,7 @@
     fn messages(&mut self) {
         let (old, new) = (self.old, self.new);
         for message in &old.messages {
-            self.operation = message.name.clone();
+            self.operation = message.name.to_string();
             self.seen.clear();
             match new.message(&message.channel, &message.word) {
                 None => self.add(Weight::Breaking, "", "the message is gone".into()),
@@ -290,7 +290,7 @@
             }
         }
         for message in new.messages.iter().filter(|m| old.message(&m.channel, &m.word).is_none()) {
-            self.operation = message.name.clone();
+            self.operation = message.name.to_string();
             let weight = match message.direction {
                 Direction::Request => Weight::Compatible,
                 // Whoever listens is sent what it does not know.
--- a/contract/src/drift.rs
+++ b/contract/src/drift.rs
@@ -56,7 +56,7 @@
     /// Who sent it: a server's id, or the kind of party where they can't be told apart.
     pub party: &'o Arc<str>,
     /// The operation's name.
-    pub operation: &'o str,
+    pub operation: &'o Arc<str>,
     /// Which way it went.
     pub direction: Direction,
     /// What departs in it.
@@ -170,7 +170,7 @@
         self.messages += 1;
         let operation = Operation {
             interface: seen.interface,
-            operation: seen.operation.into(),
+            operation: seen.operation.clone(),
             direction: seen.direction,
         };
         let room = self.checked.len() < MOST_OPERATIONS;
@@ -296,7 +296,7 @@
     pub fn summary(&self, seen: &Observation, departure: &Departure) -> Option<String> {
         let operation = Operation {
             interface: seen.interface,
-            operation: seen.operation.into(),
+            operation: seen.operation.clone(),
             direction: seen.direction,
         };
         let mut key = Key { operation, place: place_of(&departure.place), kind: departure.kind };
@@ -402,7 +402,7 @@
         let seen = Observation {
             interface: Interface::Servers,
             party: &party.into(),
-            operation: "A",
+            operation: &"A".into(),
             direction: Direction::Answer,
             departures: &departures,
         };
@@ -486,7 +486,7 @@
             let seen = Observation {
                 interface: Interface::Platform,
                 party: &"clients".into(),
-                operation: &format!("GET /{operation}"),
+                operation: &format!("GET /{operation}").into(),
                 direction: Direction::Request,
                 departures: &[departure("body")],
             };
--- a/contract/src/model.rs
+++ b/contract/src/model.rs
@@ -169,7 +169,7 @@
 #[derive(Clone, Debug)]
 pub struct Operation {
     /// Its name: the method and the path template.
-    pub name: String,
+    pub name: Arc<str>,
     /// The description's own id for it.
     pub id: Option<String>,
     pub(crate) loc: Loc,
@@ -183,7 +183,7 @@
 #[derive(Clone, Debug)]
 pub struct Message {
     /// Its name: the channel's and its own.
-    pub name: String,
+    pub name: Arc<str>,
     pub(crate) channel: String,
     pub(crate) word: String,
     pub(crate) loc: Loc,
--- a/contract/src/openapi.rs
+++ b/contract/src/openapi.rs
@@ -177,7 +177,7 @@
                 build.router.add(&template, key, number);
             }
         }
-        let name = format!("{} {path}", key.to_ascii_uppercase());
+        let name = format!("{} {path}", key.to_ascii_uppercase()).into();
         build.operations.push(Operation {
             name,
             id,
--- a/contract/src/replay.rs
+++ b/contract/src/replay.rs
@@ -125,7 +125,8 @@
             let method = method.to_ascii_uppercase();
             let asked = Asked { method: &method, target: &target, fields: &fields, body: &body };
             let judged = description.judge_request(&asked);
-            let operation = judged.operation.map_or_else(|| format!("{method} {target}"), str::to_string);
+            let operation =
+                judged.operation.map_or_else(|| format!("{method} {target}"), |name| name.to_string());
             let known = judged.number;
             note(&operation, "request", judged.departures);
             if let (Some(operation_number), Some(answer)) = (known, answer) {
@@ -142,7 +143,8 @@
         (Kind::AsyncApi, Line { channel: Some(channel), message: Some(word), headers, payload, .. }) => {
             let judged =
                 description.judge_message(&channel, &word, &Value::Object(headers), &bytes(&payload));
-            let operation = judged.operation.map_or_else(|| format!("{channel} {word}"), str::to_string);
+            let operation =
+                judged.operation.map_or_else(|| format!("{channel} {word}"), |name| name.to_string());
             note(&operation, "message", judged.departures);
             Ok(())
         }
--- a/node/src/backends/frames.rs
+++ b/node/src/backends/frames.rs
@@ -1,13 +1,13 @@
 //! The platform's frames: length, letter, rest.
 
-use crate::contract::Part;
+use crate::contract::{Head, Part};
 use crate::http;
 use crate::link::{Command, LinkEnd};
 use crate::words::{Attempt, Job, Judge, Value, What};
 use cairnroad::{Outcome, Time};
 use cairnroad_contract::drift::Interface;
 use cairnroad_contract::schema::Direction;
-use serde_json::json;
+use serde_json::{json, Value as Json};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -118,19 +118,36 @@
     word: &'static str,
     direction: Direction,
     payload: &[u8],
-    head: impl FnOnce() -> serde_json::Value,
+    line: impl FnOnce() -> String,
+    head: Head,
 ) -> bool {
     let part = Part { channel: "frames", word, direction, payload };
-    end.contracts.frame(judge, Interface::Servers, &end.server, part, head)
+    end.contracts.frame(judge, Interface::Servers, &end.server, part, line, head)
+}
+
+/// The fields of a call's part, of an answer, and of a frame without a line.
+fn call_head(line: &str) -> Json {
+    let words: Vec<&str> = line.split(' ').collect();
+    let number = |at: usize| words.get(at).and_then(|word| word.parse::<i64>().ok());
+    json!({"id": words.first(), "shard": number(1), "d": number(2), "length": number(3)})
+}
+
+fn answer_head(line: &str) -> Json {
+    let words: Vec<&str> = line.splitn(4, ' ').collect();
+    let report = words.get(3).copied().unwrap_or("-");
+    json!({"id": words.first(), "end": words.get(1), "score": words.get(2), "report": members(report)})
+}
+
+fn no_head(_: &str) -> Json {
+    json!({})
 }
 
 /// A load report as an object: numbers where they are some, else text; no members where there is none.
-fn members(report: &[u8]) -> serde_json::Map<String, serde_json::Value> {
-    let report = String::from_utf8_lossy(report);
+fn members(report: &str) -> serde_json::Map<String, Json> {
     let pair = |pair: &str| {
         let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
         let number = value.parse::<f64>().ok().and_then(serde_json::Number::from_f64);
-        (name.to_string(), number.map_or_else(|| json!(value), serde_json::Value::Number))
+        (name.to_string(), number.map_or_else(|| json!(value), Json::Number))
     };
     if report == "-" {
         return serde_json::Map::new();
@@ -227,8 +244,9 @@
                         self.frame = call(&jobs, now);
                         for job in jobs.iter().filter(|job| job.judge.is_some()) {
                             let text = job.text.as_str();
-                            let head = || json!({"id": id(job), "shard": job.shard, "d": wait(job, now), "length": text.len()});
-                            told(end, &job.judge, "Q", Direction::Request, text.as_bytes(), head);
+                            let line =
+                                || format!("{} {} {} {}", id(job), job.shard, wait(job, now), text.len());
+                            told(end, &job.judge, "Q", Direction::Request, text.as_bytes(), line, call_head);
                         }
                         self.writing = jobs;
                     }
@@ -246,14 +264,15 @@
                             "X",
                             Direction::Request,
                             b"",
-                            || json!({"id": name}),
+                            || name.clone(),
+                            |id| json!({"id": id}),
                         );
                         self.frame = framed(format!("X{name}").as_bytes());
                     }
                 }
                 Some(Command::Probe) => {
                     self.probes += 1;
-                    told(end, &end.contracts.current(), "L?", Direction::Request, b"", || json!({}));
+                    told(end, &end.contracts.current(), "L?", Direction::Request, b"", String::new, no_head);
                     self.frame = framed(b"L");
                 }
             }
@@ -390,8 +409,8 @@
                 if outcome.is_none() || wire.out.is_empty() && buffer.len() > used {
                     end.spend();
                 }
-                let head = || json!({"id": id, "end": word, "score": score, "report": members(report)});
-                let usable = told(end, &judge, "A", Direction::Answer, value, head);
+                let line = || format!("{id} {word} {score} {}", String::from_utf8_lossy(report));
+                let usable = told(end, &judge, "A", Direction::Answer, value, line, answer_head);
                 let outcome = if usable { outcome } else { outcome.and(Some(Outcome::Error)) };
                 let value = (outcome == Some(Outcome::Ok)).then(|| Value::Plain(value.into()));
                 end.ended(attempt, outcome.unwrap_or(Outcome::Error), value).await;
@@ -401,14 +420,22 @@
             }
             Frame::Load(text) if wire.probes > 0 => {
                 wire.probes -= 1;
-                told(end, &end.contracts.current(), "L", Direction::Answer, text, || json!({}));
+                told(end, &end.contracts.current(), "L", Direction::Answer, text, String::new, no_head);
                 let outcome = if text == b"err" { Outcome::Error } else { Outcome::Ok };
                 let report = report(&String::from_utf8_lossy(text), &end.report_names);
                 end.tell(What::Probed { outcome, report }).await;
             }
             Frame::Ping | Frame::Load(_) => return Err("a probe's answer that nobody asked for".into()),
             Frame::Complaint(text) => {
-                told(end, &end.contracts.current(), "E", Direction::Answer, text.as_bytes(), || json!({}));
+                told(
+                    end,
+                    &end.contracts.current(),
+                    "E",
+                    Direction::Answer,
+                    text.as_bytes(),
+                    String::new,
+                    no_head,
+                );
                 return Err(format!("it could not use a frame: {text}"));
             }
         }
--- a/node/src/contract.rs
+++ b/node/src/contract.rs
@@ -13,18 +13,23 @@
 use cairnroad_contract::model::{Description, Kind};
 use cairnroad_contract::schema::Direction;
 use serde_json::{json, Value};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 /// Messages and bytes that may wait to be looked at. At full share this is some tenth of a second of a busy instance;
 /// a thread that is further behind will not catch up by a longer queue.
 const MOST_WAITING: usize = 512;
 const MOST_WAITING_BYTES: usize = 2 * 1024 * 1024;
+/// How often the thread aside looks. Waking it for each message would cost the core's thread more than the message.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
 /// Old entries are looked for after so many messages.
 const AGE_EVERY: u64 = 4096;
 
+/// Stands for the operation where none is described.
+const UNKNOWN: &str = "(not described)";
+
 type Fields = Vec<(String, String)>;
 
 /// A message, and the description in force for it.
@@ -51,11 +56,21 @@
         channel: &'static str,
         word: &'static str,
         direction: Direction,
-        head: Value,
+        line: String,
+        head: Head,
         payload: Vec<u8>,
     },
 }
 
+/// Makes the fields of a message's head from its line.
+pub type Head = fn(&str) -> Value;
+
+/// What waits to be looked at.
+struct Waiting {
+    items: Vec<Item>,
+    room: Room,
+}
+
 /// A client's request that is looked at, until its answer is known.
 pub struct Watched {
     held: Held,
@@ -81,11 +96,13 @@
     in_force: RefCell<Judge>,
     samplers: RefCell<BTreeMap<Interface, Sampler>>,
     ledger: Arc<Mutex<Ledger>>,
-    room: Arc<Mutex<Room>>,
-    aside: RefCell<Option<Sender<Item>>>,
+    waiting: Arc<Mutex<Waiting>>,
+    /// Whether the thread aside runs.
+    looking: Cell<bool>,
     servers: RefCell<BTreeMap<Arc<str>, Option<f64>>>,
     clients: Arc<str>,
     own: Arc<str>,
+    unknown: Arc<str>,
     pages: Pages,
 }
 
@@ -131,11 +148,15 @@
             in_force: RefCell::default(),
             samplers: RefCell::default(),
             ledger: Arc::default(),
-            room: Arc::new(Mutex::new(Room::new(MOST_WAITING, MOST_WAITING_BYTES))),
-            aside: RefCell::default(),
+            waiting: Arc::new(Mutex::new(Waiting {
+                items: Vec::new(),
+                room: Room::new(MOST_WAITING, MOST_WAITING_BYTES),
+            })),
+            looking: Cell::new(false),
             servers: RefCell::default(),
             clients: "clients".into(),
             own: "coordinator".into(),
+            unknown: UNKNOWN.into(),
             pages,
         }
     }
@@ -153,12 +174,11 @@
             let (mode, share, title) = (held.mode, held.share, &held.description.title);
             tracing::info!(%interface, ?mode, share, description = title, "contract in force");
         }
-        if !next.is_off() && self.aside.borrow().is_none() {
-            let (items, queue) = channel();
-            let (ledger, room) = (self.ledger.clone(), self.room.clone());
+        if !next.is_off() && !self.looking.get() {
+            let (ledger, waiting) = (self.ledger.clone(), self.waiting.clone());
             let thread = std::thread::Builder::new().name("contract".into());
-            thread.spawn(move || look(&queue, &ledger, &room)).map_err(|e| format!("a thread: {e}"))?;
-            self.aside.replace(Some(items));
+            thread.spawn(move || look(&waiting, &ledger)).map_err(|e| format!("a thread: {e}"))?;
+            self.looking.set(true);
         }
         // With nothing in force, requests carry nothing and nothing is asked of them.
         self.in_force.replace((!next.is_off()).then(|| Arc::new(next)));
@@ -198,10 +218,9 @@
 
     /// Hands a message to the thread aside, if there is room.
     fn send(&self, item: Item) {
-        if lock(&self.room).enter(item.bytes) {
-            if let Some(aside) = &*self.aside.borrow() {
-                let _ = aside.send(item);
-            }
+        let mut waiting = lock(&self.waiting);
+        if waiting.room.enter(item.bytes) {
+            waiting.items.push(item);
         }
     }
 
@@ -210,10 +229,11 @@
         &self,
         interface: Interface,
         party: &Arc<str>,
-        operation: &str,
+        operation: Option<&Arc<str>>,
         direction: Direction,
         found: &[Departure],
     ) {
+        let operation = operation.unwrap_or(&self.unknown);
         let seen = Observation { interface, party, operation, direction, departures: found };
         note(&mut lock(&self.ledger), self.now(), &seen);
     }
@@ -231,8 +251,7 @@
         if judged {
             let asked = Asked { method, target, fields: request.fields.pairs(), body: &request.body };
             let found = held.description.judge_request(&asked);
-            let operation = found.operation.unwrap_or(method);
-            self.note(interface, &self.clients, operation, Direction::Request, &found.departures);
+            self.note(interface, &self.clients, found.operation, Direction::Request, &found.departures);
             if let decide::Request::Refuse(reason) = decide::request(held.mode, &found.departures) {
                 return Err(reason);
             }
@@ -287,8 +306,7 @@
             // An operation that is not described promises nothing that could be held against its answer.
             let Some(number) = number else { return true };
             let found = held.description.judge_answer(number, &answered);
-            let operation = found.operation.unwrap_or(method);
-            self.note(interface, party, operation, Direction::Answer, &found.departures);
+            self.note(interface, party, found.operation, Direction::Answer, &found.departures);
             return decide::usable(held.mode, &found.departures);
         }
         if !self.sampled(interface) {
@@ -309,25 +327,27 @@
         true
     }
 
-    /// A frame or a page, its head's fields made only where they are looked at. Whether it may be used.
+    /// A frame or a page, its line written and its fields made only where they are looked at. Whether it may be used.
     pub fn frame(
         &self,
         judge: &Judge,
         interface: Interface,
         party: &Arc<str>,
         part: Part,
-        head: impl FnOnce() -> Value,
+        line: impl FnOnce() -> String,
+        head: Head,
     ) -> bool {
         let Some(held) = judge.as_ref().and_then(|in_force| in_force.of(interface)) else { return true };
         let Part { channel, word, direction, payload } = part;
         if held.mode == Mode::Enforce && direction == Direction::Answer {
-            let found = held.description.judge_message(channel, word, &head(), payload);
-            self.note(interface, party, found.operation.unwrap_or(word), direction, &found.departures);
+            let found = held.description.judge_message(channel, word, &head(&line()), payload);
+            self.note(interface, party, found.operation, direction, &found.departures);
             return decide::usable(held.mode, &found.departures);
         }
         if self.sampled(interface) {
             let party = if direction == Direction::Request { &self.own } else { party };
-            let what = What::Frame { channel, word, direction, head: head(), payload: payload.to_vec() };
+            let what =
+                What::Frame { channel, word, direction, line: line(), head, payload: payload.to_vec() };
             let bytes = payload.len();
             self.send(Item {
                 held: held.clone(),
@@ -359,7 +379,7 @@
                 "format": held.description.version, "files": held.description.files().collect::<Vec<_>>()});
             (interface.to_string(), about)
         };
-        let missed = lock(&self.room).missed;
+        let missed = lock(&self.waiting).room.missed;
         let mut ledger = lock(&self.ledger);
         ledger.age(self.now());
         json!({
@@ -387,7 +407,7 @@
         tracing::warn!(
             interface = %seen.interface,
             party = %seen.party,
-            operation = seen.operation,
+            operation = %seen.operation,
             place = departure.place,
             described = departure.described,
             cause = summary,
@@ -397,37 +417,46 @@
 }
 
 /// The thread aside: judges what is handed to it for as long as the program lives.
-fn look(queue: &Receiver<Item>, ledger: &Mutex<Ledger>, room: &Mutex<Room>) {
-    while let Ok(item) = queue.recv() {
-        let Item { held, interface, party, now, bytes, what } = item;
-        let description = &held.description;
-        let note = |operation: &str, direction, found: &[Departure]| {
-            let seen = Observation { interface, party: &party, operation, direction, departures: found };
-            note(&mut lock(ledger), now, &seen);
-        };
-        match what {
-            What::Exchange { method, target, fields, body, judged, answer } => {
-                let number = match judged {
-                    true => description.operation_of(&method, &target),
-                    false => {
-                        let asked = Asked { method: &method, target: &target, fields: &fields, body: &body };
-                        let found = description.judge_request(&asked);
-                        let operation = found.operation.unwrap_or(&method);
-                        note(operation, Direction::Request, &found.departures);
-                        found.number
-                    }
-                };
-                if let (Some(number), Some((status, fields, body, whole))) = (number, answer) {
-                    let answered = Answered { status, fields: &fields, body: &body, whole };
-                    let found = description.judge_answer(number, &answered);
-                    note(found.operation.unwrap_or(&method), Direction::Answer, &found.departures);
+fn look(waiting: &Mutex<Waiting>, ledger: &Mutex<Ledger>) {
+    loop {
+        std::thread::sleep(LOOK_EVERY);
+        let mut waiting = lock(waiting);
+        let items = std::mem::take(&mut waiting.items);
+        items.iter().for_each(|item| waiting.room.leave(item.bytes));
+        drop(waiting);
+        items.into_iter().for_each(|item| look_at(item, ledger));
+    }
+}
+
+fn look_at(item: Item, ledger: &Mutex<Ledger>) {
+    let Item { held, interface, party, now, what, .. } = item;
+    let description = &held.description;
+    let note = |operation: Option<&Arc<str>>, direction, found: &[Departure]| {
+        let unknown = || Arc::from(UNKNOWN);
+        let operation = &operation.cloned().unwrap_or_else(unknown);
+        let seen = Observation { interface, party: &party, operation, direction, departures: found };
+        note(&mut lock(ledger), now, &seen);
+    };
+    match what {
+        What::Exchange { method, target, fields, body, judged, answer } => {
+            let number = match judged {
+                true => description.operation_of(&method, &target),
+                false => {
+                    let asked = Asked { method: &method, target: &target, fields: &fields, body: &body };
+                    let found = description.judge_request(&asked);
+                    note(found.operation, Direction::Request, &found.departures);
+                    found.number
                 }
+            };
+            if let (Some(number), Some((status, fields, body, whole))) = (number, answer) {
+                let answered = Answered { status, fields: &fields, body: &body, whole };
+                let found = description.judge_answer(number, &answered);
+                note(found.operation, Direction::Answer, &found.departures);
             }
-            What::Frame { channel, word, direction, head, payload } => {
-                let found = description.judge_message(channel, word, &head, &payload);
-                note(found.operation.unwrap_or(word), direction, &found.departures);
-            }
         }
-        lock(room).leave(bytes);
+        What::Frame { channel, word, direction, line, head, payload } => {
+            let found = description.judge_message(channel, word, &head(&line), &payload);
+            note(found.operation, direction, &found.departures);
+        }
     }
 }
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -7,7 +7,7 @@
 use cairnroad::{ListNews, Listed, ServerId, ServerState};
 use cairnroad_contract::drift::Interface;
 use cairnroad_contract::schema::Direction;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -151,11 +151,8 @@
         let judge = contracts.current();
         let party: Arc<str> = "agent".into();
         let ask = Part { channel: "watch", word: "ask", direction: Direction::Request, payload: b"" };
-        let head = || match revision {
-            None => json!({}),
-            Some(from) => json!({"from": *from, "hold_ms": HOLD_MS}),
-        };
-        contracts.frame(&judge, Interface::Discovery, &party, ask, head);
+        let asked = || target.clone();
+        contracts.frame(&judge, Interface::Discovery, &party, ask, asked, ask_head);
         let call = format!("GET {target} HTTP/1.1\r\nHost: {agent}\r\n\r\n");
         let answer = tokio::time::timeout(patience, exchange(&mut stream, &call, &mut buffer));
         let answer = answer.await.map_err(|_| "the agent is silent")??;
@@ -166,7 +163,7 @@
         }
         let payload = &answer.body;
         let list = Part { channel: "watch", word: "list", direction: Direction::Answer, payload };
-        contracts.frame(&judge, Interface::Discovery, &party, list, || json!({}));
+        contracts.frame(&judge, Interface::Discovery, &party, list, String::new, |_| json!({}));
         let page: Page = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
         let news = page.news();
         *revision = Some(news.revision);
@@ -177,6 +174,14 @@
     }
 }
 
+/// The fields of a watch call: its parameters.
+fn ask_head(target: &str) -> Value {
+    let query = target.split_once('?').map_or("", |(_, query)| query);
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let number = |(name, value): (&str, &str)| (name.to_string(), json!(value.parse::<u64>().ok()));
+    Value::Object(pairs.map(number).collect())
+}
+
 async fn exchange(
     stream: &mut TcpStream,
     call: &str,
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -159,6 +159,7 @@
 }
 
 fn frame_connection(mut stream: TcpStream, number: usize, stage: &Arc<Stage>) -> Option<()> {
+    stream.set_nodelay(true).ok()?;
     let writer = Arc::new(Mutex::new(stream.try_clone().ok()?));
     let mut out: BTreeMap<String, Arc<AtomicBool>> = BTreeMap::new();
     loop {
@@ -281,6 +282,7 @@
 }
 
 fn search_connection(stream: TcpStream, number: usize, stage: &Arc<Stage>) -> Option<()> {
+    stream.set_nodelay(true).ok()?;
     let mut reader = BufReader::new(stream.try_clone().ok()?);
     let mut stream = stream;
     loop {
