--- a/node/src/fronts/opensearch.rs
+++ b/node/src/fronts/opensearch.rs
@@ -219,21 +219,9 @@
     }
 }
 
-/// Undoes percent-encoding; `None` where it is broken.
+/// A word of a query string; `None` where its encoding is broken.
 fn decode(text: &str) -> Option<String> {
-    let mut bytes = Vec::with_capacity(text.len());
-    let mut rest = text.bytes();
-    while let Some(byte) = rest.next() {
-        bytes.push(match byte {
-            b'%' => {
-                let digit = |b: Option<u8>| (b? as char).to_digit(16);
-                (digit(rest.next())? * 16 + digit(rest.next())?) as u8
-            }
-            b'+' => b' ',
-            other => other,
-        });
-    }
-    String::from_utf8(bytes).ok()
+    cairnroad_contract::source::decode(&text.replace('+', " "))
 }
 
 fn flag(name: &str, value: &str) -> Result<bool, Fault> {
