Share turns by weight, keep queries to their list's servers, and read rosters from files

Need: staff want to edit a list of servers and weights rather than restart coordinators. Change: the decisions share turns among a shard's replicas in proportion to weight, smoothly, and keep a query to the servers of its list's generation; the crate roster/ reads, checks, plans, schedules and keeps lists. A file must end in '# end': a property test found that a cut file can be sound TOML with a server or a digit less.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -79,6 +79,8 @@
         cell: row.cell,
         state: row.state,
         size: row.size,
+        weight: row.weight,
+        generation: row.generation,
         ready_at: row.ready_at,
     };
     let rows = rows.iter().map(listed).collect();
--- a/node/src/members.rs
+++ b/node/src/members.rs
@@ -55,7 +55,8 @@
                 format!("members: host_port '{}' of {} is not an address", member.host_port, member.id)
             })?;
             let ready_at = (member.up_since_ms > 0).then(|| Time(member.up_since_ms.saturating_mul(1000)));
-            Ok(Row { id: member.id, address, cell: member.cell, state, size: member.size, ready_at })
+            let (cell, size) = (member.cell, member.size);
+            Ok(Row { id: member.id, address, cell, state, size, weight: 1.0, generation: 0, ready_at })
         };
         let read = |line: &RawValue| {
             row(line)
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -400,7 +400,16 @@
     }
 
     fn list(address: SocketAddr, state: ServerState) -> Vec<(ServerId, Row)> {
-        let row = Row { id: "s".into(), address, cell: 0, state, size: 1.0, ready_at: None };
+        let row = Row {
+            id: "s".into(),
+            address,
+            cell: 0,
+            state,
+            size: 1.0,
+            weight: 1.0,
+            generation: 0,
+            ready_at: None,
+        };
         vec![(ServerId(0), row)]
     }
 
--- a/node/src/stages/mod.rs
+++ b/node/src/stages/mod.rs
@@ -190,6 +190,8 @@
                     cell: at as u32 % 2,
                     state,
                     size: 1.0,
+                    weight: 1.0,
+                    generation: 0,
                     ready_at: None,
                 };
                 let gone = (generation, ServerState::Gone);
--- a/node/src/words.rs
+++ b/node/src/words.rs
@@ -139,6 +139,9 @@
     pub cell: u32,
     pub state: ServerState,
     pub size: f64,
+    /// Its share of turns, and the generation of the list that it stands in; 1 and 0 where lists have none.
+    pub weight: f64,
+    pub generation: u64,
     pub ready_at: Option<Time>,
 }
 
--- /dev/null
+++ b/roster/src/settle.rs
@@ -0,0 +1,82 @@
+//! When files that change are looked at. Free of I/O and clock.
+
+/// How long nothing may have been written before the files are read: a writer of several files is done by then, most
+/// often. What is read too early is refused for its generations and read again.
+pub const QUIET: f64 = 0.03;
+/// How long a writer that never rests is waited for. Together with reading this stays under 100 ms.
+pub const LONGEST: f64 = 0.06;
+/// How often files are looked at though nothing was told: events get lost, and some file systems tell none.
+pub const RESCAN: f64 = 1.0;
+/// How soon what was refused or could not be read is looked at again, in case it was read in the middle of a write.
+pub const AGAIN: f64 = 0.05;
+/// How often that is done before the next rescan.
+const TRIES: u32 = 4;
+
+/// What is known of the files' changes.
+#[derive(Clone, Debug)]
+pub struct Settle {
+    /// When the first and the last change that is not read yet were told.
+    changed: Option<(f64, f64)>,
+    read: f64,
+    again: u32,
+}
+
+impl Settle {
+    /// Nothing told; the files were just read.
+    pub fn new(now: f64) -> Settle {
+        Settle { changed: None, read: now, again: 0 }
+    }
+
+    /// A change was told.
+    pub fn changed(&mut self, now: f64) {
+        let first = self.changed.map_or(now, |(first, _)| first);
+        self.changed = Some((first, now));
+        self.again = 0;
+    }
+
+    /// When the files are to be read next.
+    pub fn due(&self) -> f64 {
+        let rescan = self.read + RESCAN;
+        match self.changed {
+            Some((first, last)) => (last + QUIET).min(first + LONGEST).min(rescan),
+            None if (1..=TRIES).contains(&self.again) => (self.read + AGAIN).min(rescan),
+            None => rescan,
+        }
+    }
+
+    /// The files were read; `clear`: they hold what is in force, or a list that was taken.
+    pub fn read(&mut self, now: f64, clear: bool) {
+        self.changed = None;
+        self.read = now;
+        self.again = if clear { 0 } else { self.again.saturating_add(1) };
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn files_are_read_once_writing_rests_and_never_late() {
+        let mut settle = Settle::new(0.0);
+        assert_eq!(settle.due(), RESCAN);
+        settle.changed(0.5);
+        assert!((settle.due() - 0.53).abs() < 1e-9);
+        for step in 1..100 {
+            settle.changed(0.5 + f64::from(step) * 0.001);
+        }
+        assert!((settle.due() - 0.56).abs() < 1e-9, "a writer that never rests");
+        settle.read(0.56, false);
+        let mut looks = 0;
+        let mut now = 0.56;
+        while settle.due() - now < 0.1 {
+            now = settle.due();
+            settle.read(now, false);
+            looks += 1;
+        }
+        assert_eq!(looks, TRIES, "what is refused is looked at again a few times, then at the usual pace");
+        settle.changed(now);
+        settle.read(now + 0.03, true);
+        assert!(settle.due() - now > 1.0);
+    }
+}
--- /dev/null
+++ b/roster/tests/files.rs
@@ -0,0 +1,294 @@
+//! Files as staff and editors leave them, and disks as they fail.
+
+use cairnroad_roster::decide::{judge, Verdict, USUAL_SHRINK};
+use cairnroad_roster::keep::{decode, encode, keep, recover, Store, SLOTS};
+use cairnroad_roster::model::{lines, Layout, Phase, Roster};
+use cairnroad_roster::plan::plan;
+use cairnroad_roster::read::{read, write, File};
+use quickcheck::{Arbitrary, Gen};
+use std::collections::BTreeMap;
+use std::io;
+
+const LAYOUT: Layout = Layout { cells: 2, reach: 2, shards: 8 };
+
+const KITA: &str = r#"generation = 7
+
+[[server]]
+id = "s-1"
+address = "10.0.0.1:9000"
+cell = 0
+locality = "kita-room"
+kind = "std-2core"
+weight = 2
+started = 2026-11-30T22:00:00+09:00
+
+[[server]]
+id = "s-2"
+address = "10.0.0.2:9000"
+cell = 1
+# end
+"#;
+
+fn one(text: &str) -> Result<Roster, String> {
+    read(&[("kita.toml".into(), Ok(text.into()))]).map_err(|faults| lines(&faults))
+}
+
+fn edited(from: &str, to: &str) -> String {
+    assert!(KITA.contains(from), "{from}");
+    one(&KITA.replacen(from, to, 1)).unwrap_err()
+}
+
+#[test]
+fn a_roster_is_read_and_written_back_the_same() {
+    let roster = one(KITA).unwrap();
+    let first = &roster.servers["s-1"];
+    assert_eq!((roster.generation, first.weight, first.cell, first.phase), (7, 2.0, 0, Phase::Active));
+    assert_eq!(first.started, Some(1_796_043_600.0));
+    assert_eq!(roster.servers["s-2"].weight, 1.0);
+    assert_eq!(one(&write(&roster)).unwrap(), roster);
+}
+
+/// Each refusal names its file, its line and its cause.
+#[test]
+fn each_fault_has_its_words() {
+    let cases = [
+        ("generation = 7\n", "", "kita.toml: 'generation' is missing: every file of a roster carries the same"),
+        ("generation = 7", "generation = 0", "kita.toml:1: 'generation': 0 is no whole number above 0"),
+        ("id = \"s-2\"", "id = \"s-1\"", "kita.toml:12: the server 's-1' is named twice: also in kita.toml:3"),
+        ("10.0.0.2", "10.0.0.1", "kita.toml:12: the address 10.0.0.1:9000 of 's-2' is named twice: also in kita.toml:3"),
+        ("10.0.0.2:9000", "stock-2", "kita.toml:12: 'address' of 's-2': 'stock-2' is no address and port"),
+        ("weight = 2", "weight = -2", "kita.toml:3: 'weight': -2 is not from 0 to 1000"),
+        ("weight = 2", "weight = nan", "kita.toml:3: 'weight': NaN is not from 0 to 1000"),
+        ("weight = 2", "weight = inf", "kita.toml:3: 'weight': inf is not from 0 to 1000"),
+        ("weight = 2", "weight = \"2\"", "kita.toml:3: 'weight': \"2\" is no number"),
+        ("weight = 2", "wight = 2", "kita.toml:3: 'wight' is not known: id, address, cell, locality, kind, phase, weight, started, not_before, not_after are"),
+        ("cell = 1", "cell = -1", "kita.toml:12: 'cell': -1 is no cell's number"),
+        ("cell = 1\n", "", "kita.toml:12: 'cell' is missing: it tells which shards the server holds"),
+        ("cell = 1", "cell = 1\nphase = \"gone\"", "kita.toml:12: 'phase': 'gone' is neither active nor leaving"),
+        ("cell = 1", "cell = 1\nnot_before = 2026-12-02", "kita.toml:12: 'not_before': 2026-12-02 needs a date, a time and an offset, such as Z"),
+        ("cell = 1", "cell = 1\nnot_before = 2026-12-02T00:00:00Z\nnot_after = 2026-12-01T00:00:00Z", "kita.toml:12: 'not_after' is not later than 'not_before'"),
+        ("[[server]]", "[[servers]]", "kita.toml: 'servers' is not known: generation, allow_shrink, [[server]] and [weights] are"),
+    ];
+    for (from, to, words) in cases {
+        assert_eq!(edited(from, to), words);
+    }
+    assert!(edited("cell = 1\n", "cell = 1\n[[ser")
+        .starts_with("kita.toml:16: this is no TOML, or half-written: "));
+    assert_eq!(
+        edited("# end\n", ""),
+        "kita.toml:15: the last line must be '# end': a file without it may be half-written"
+    );
+    assert_eq!(one("").unwrap_err(), "kita.toml: the file is empty: it may be half-written");
+    assert_eq!(lines(&read(&[]).unwrap_err()), "there is no roster file (*.toml)");
+    let large = vec![("a.toml".to_string(), Ok("#".repeat(9_000_000)))];
+    assert_eq!(lines(&read(&large).unwrap_err()), "the files have 9000000 bytes together: 8388608 at most");
+    let unreadable = vec![("a.toml".to_string(), Err("permission denied".to_string()))];
+    assert_eq!(lines(&read(&unreadable).unwrap_err()), "a.toml: permission denied");
+}
+
+/// Guards against a list that is half of one generation and half of another.
+#[test]
+fn a_roster_of_several_files_is_taken_only_whole() {
+    let second = "generation = 7\n[[server]]\nid = \"s-3\"\naddress = \"10.0.0.3:9000\"\ncell = 1\n# end\n";
+    let weights = "generation = 7\n[weights]\ns-2 = 0.5\ns-3 = 4\n# end\n";
+    let files = |second: &str, weights: &str| -> Vec<File> {
+        let file = |name: &str, text: &str| (name.to_string(), Ok(text.to_string()));
+        vec![file("kita.toml", KITA), file("minami.toml", second), file("weights.toml", weights)]
+    };
+    let roster = read(&files(second, weights)).unwrap();
+    let weight = |id: &str| roster.servers[id].weight;
+    assert_eq!((roster.servers.len(), weight("s-1"), weight("s-2"), weight("s-3")), (3, 2.0, 0.5, 4.0));
+    let faulty = |second: &str, weights: &str| lines(&read(&files(second, weights)).unwrap_err());
+    assert_eq!(
+        faulty(&second.replace('7', "8"), weights),
+        "kita.toml:1: this file is of generation 7, another of 8: write all of them\n\
+         weights.toml:1: this file is of generation 7, another of 8: write all of them"
+    );
+    assert_eq!(
+        faulty(&second.replace("s-3", "s-1"), weights).lines().next().unwrap(),
+        "minami.toml:2: the server 's-1' is named twice: also in kita.toml:3"
+    );
+    assert_eq!(faulty(second, &weights.replace("s-3", "s-9")), "weights.toml:4: there is no server 's-9'");
+    assert_eq!(
+        faulty(second, &weights.replace("s-2", "s-1")),
+        "weights.toml:3: the weight of 's-1' stands in kita.toml:3, too"
+    );
+}
+
+#[test]
+fn a_plan_tells_what_a_list_would_do() {
+    let old = one(KITA).unwrap();
+    let more = "phase = \"leaving\"\n\n[[server]]\nid = \"s-3\"\naddress = \"10.0.0.3:9000\"\ncell = 0\nweight = 1\n# end\n";
+    let new = KITA
+        .replace("generation = 7", "generation = 8")
+        .replace("weight = 2", "weight = 3")
+        .replace("# end\n", more);
+    let new = one(&new).unwrap();
+    let layout = Layout { cells: 2, reach: 1, shards: 4 };
+    let plan = plan(&old, &new, &layout);
+    assert_eq!(
+        plan.to_string(),
+        "add: s-3\ndrain: s-2\nweight of s-1: 2 to 3\ncell 0: 25 % of its turns go to other servers\nunchanged: 0\n"
+    );
+    assert!(
+        matches!(judge(Some(&old), &new, &layout, USUAL_SHRINK), Verdict::Refuse(_)),
+        "cell 1 is left bare"
+    );
+    assert!(cairnroad_roster::plan::plan(&old, &old, &layout).is_empty());
+}
+
+/// A disk that fails: fills up, tears what is written, or keeps it.
+#[derive(Default)]
+struct Disk {
+    slots: BTreeMap<String, Vec<u8>>,
+    /// What becomes of the next write.
+    next: Option<Failure>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Failure {
+    Full,
+    /// The write is cut at so many thousandths, as on a disk that lies about what it has synced.
+    Torn(usize),
+    /// A bit turns.
+    Damaged(usize),
+}
+
+impl Store for Disk {
+    fn read(&self, slot: &str) -> io::Result<Vec<u8>> {
+        self.slots.get(slot).cloned().ok_or(io::ErrorKind::NotFound.into())
+    }
+
+    fn replace(&mut self, slot: &str, bytes: &[u8]) -> io::Result<()> {
+        let mut bytes = bytes.to_vec();
+        match self.next.take() {
+            Some(Failure::Full) => return Err(io::Error::from(io::ErrorKind::StorageFull)),
+            Some(Failure::Torn(part)) => bytes.truncate(bytes.len() * part / 1000),
+            Some(Failure::Damaged(at)) => {
+                let at = at % bytes.len();
+                bytes[at] ^= 1;
+            }
+            None => {}
+        }
+        self.slots.insert(slot.into(), bytes);
+        Ok(())
+    }
+}
+
+fn listed(generation: u64) -> Roster {
+    let text = KITA.replace("generation = 7", &format!("generation = {generation}"));
+    one(&text.replace("weight = 2", &format!("weight = {}", generation % 9 + 1))).unwrap()
+}
+
+/// Guards against a start on a list that nobody meant, whatever the disk did to the last writes.
+#[test]
+fn the_newest_or_the_one_before_it_is_found_whatever_the_disk_does() {
+    for seed in 0..2_000_u64 {
+        let mut gen = Gen::from_size_and_seed(20, seed);
+        let mut disk = Disk::default();
+        let mut slot = None;
+        // What was kept and not harmed since, the newest last.
+        let mut good: Vec<u64> = Vec::new();
+        let count = 1 + u64::arbitrary(&mut gen) % 12;
+        let mut spoilt_before = false;
+        for generation in 1..=count {
+            // Two failures in a row may cost both slots; one never may.
+            let fails = u8::arbitrary(&mut gen) % 3 == 0 && !spoilt_before;
+            let at = usize::arbitrary(&mut gen) % 1000;
+            disk.next = fails.then(|| {
+                [Failure::Full, Failure::Torn(at), Failure::Damaged(at)][usize::arbitrary(&mut gen) % 3]
+            });
+            let spoils = !matches!(disk.next, None | Some(Failure::Full));
+            match keep(&mut disk, slot, &listed(generation), generation as f64) {
+                Ok(kept) => {
+                    slot = Some(kept);
+                    if !spoils {
+                        good.push(generation);
+                    }
+                }
+                Err(e) => assert_eq!(e.kind(), io::ErrorKind::StorageFull),
+            }
+            spoilt_before = spoils;
+        }
+        let (found, wrong) = recover(&disk);
+        assert_eq!(
+            found.as_ref().map(|kept| kept.roster.generation),
+            good.last().copied(),
+            "seed {seed}: {wrong:?}"
+        );
+        if let Some(kept) = found {
+            assert_eq!(
+                (&kept.roster, kept.saved),
+                (&listed(kept.roster.generation), kept.roster.generation as f64)
+            );
+        }
+    }
+}
+
+#[test]
+fn a_slot_that_is_cut_or_damaged_anywhere_is_never_taken() {
+    let bytes = encode(&listed(3), 5.0);
+    assert_eq!(decode(&bytes).unwrap(), (listed(3), 5.0));
+    for at in 0..bytes.len() {
+        assert!(decode(&bytes[..at]).is_err(), "cut at {at}");
+        let mut damaged = bytes.clone();
+        damaged[at] ^= 4;
+        assert!(decode(&damaged).is_err(), "damaged at {at}");
+    }
+    let mut disk = Disk::default();
+    disk.slots.insert(SLOTS[0].into(), b"cairnroad-roster 2 00000000\n".to_vec());
+    assert_eq!(recover(&disk), (None, vec!["roster.a: it is of another form or version".to_string()]));
+}
+
+/// Any sequence of writes, partial writes and reads of three files leads only to lists that some writer meant.
+#[test]
+fn no_sequence_of_partial_writes_makes_a_list_that_nobody_meant() {
+    let meant = |generation: u64| -> Vec<File> {
+        let text = |number: u64| {
+            // Which servers there are depends on the generation, so that a mix is no writer's list.
+            let id = format!("s-{number}-{}", generation % 3);
+            format!("generation = {generation}\n[[server]]\nid = \"{id}\"\naddress = \"10.0.{}.{number}:9000\"\ncell = {}\nweight = {}\n# end\n", generation % 3, number % 2, generation % 5 + 1)
+        };
+        (0..3).map(|number| (format!("{number}.toml"), Ok(text(number)))).collect()
+    };
+    let (mut taken, mut refused) = (0, 0);
+    for seed in 0..400_u64 {
+        let mut gen = Gen::from_size_and_seed(20, seed);
+        let mut disk = meant(1);
+        let mut in_force: Option<Roster> = None;
+        let mut newest = 1;
+        for _ in 0..60 {
+            match u8::arbitrary(&mut gen) % 6 {
+                0 => newest += 1,
+                // One file of the newest, or of the one before it: two writers at work.
+                1..=3 => {
+                    let generation = if bool::arbitrary(&mut gen) { newest } else { newest.max(2) - 1 };
+                    let at = usize::arbitrary(&mut gen) % 3;
+                    disk[at] = meant(generation)[at].clone();
+                    // Cut in the middle, now and then.
+                    if u8::arbitrary(&mut gen) % 3 == 0 {
+                        let text = disk[at].1.clone().unwrap();
+                        disk[at].1 = Ok(text[..usize::arbitrary(&mut gen) % text.len()].to_string());
+                    }
+                }
+                4 => disk = meant(newest),
+                _ => {}
+            }
+            match read(&disk) {
+                Ok(roster) => match judge(in_force.as_ref(), &roster, &LAYOUT, USUAL_SHRINK) {
+                    Verdict::Take => {
+                        let whole = read(&meant(roster.generation)).unwrap();
+                        assert_eq!(roster, whole, "seed {seed}: a list that nobody meant");
+                        assert!(in_force.as_ref().is_none_or(|old| old.generation < roster.generation));
+                        in_force = Some(roster);
+                        taken += 1;
+                    }
+                    Verdict::Same => {}
+                    Verdict::Refuse(_) => refused += 1,
+                },
+                Err(_) => refused += 1,
+            }
+        }
+    }
+    assert!(taken > 1_000 && refused > 1_000, "{taken} taken, {refused} refused");
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -161,6 +161,10 @@
     pub state: ServerState,
     /// Its size beside the others.
     pub size: f64,
+    /// Its share of turns beside the other holders of its shards; 0: only what no other can take.
+    pub weight: f64,
+    /// The generation of the list that it stands in; queries keep to the servers of theirs and of older ones.
+    pub generation: u64,
     /// When it started, if that is known.
     pub ready_at: Option<Time>,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,7 @@
 //! hedging, ending a query, the server list.
 
 use crate::interface::*;
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A part's one copy goes out after this share of its class's aim. The design's default.
@@ -84,6 +85,10 @@
 struct Server {
     cell: u32,
     size: f64,
+    /// Its share of turns, the turns that it is owed by it, and the list's generation that brought it here.
+    weight: f64,
+    credit: f64,
+    generation: u64,
     state: ServerState,
     ready_at: Option<Time>,
     /// When its turn was last taken, as a count of turns.
@@ -137,6 +142,8 @@
     asked_at: Time,
     aim_at: Time,
     end_at: Time,
+    /// The list's generation under which it was admitted.
+    generation: u64,
     second_step: bool,
     first_whole: bool,
     parts: Vec<RequestId>,
@@ -173,6 +180,8 @@
     servers: BTreeMap<ServerId, Server>,
     /// The servers of each cell.
     cells: BTreeMap<u32, BTreeSet<ServerId>>,
+    /// The latest generation of the list.
+    generation: u64,
     turns: i64,
     queries: BTreeMap<RequestId, Query>,
     numbers: BTreeMap<u64, RequestId>,
@@ -322,6 +331,7 @@
             asked_at,
             aim_at: end_at.min(asked_at + (aim - margin)),
             end_at,
+            generation: self.generation,
             repeat,
             kind: (class, 0),
             ..Query::default()
@@ -452,22 +462,50 @@
         let part = self.parts.get_mut(&id)?;
         let (shard, class, back) = (part.shard, part.class, part.back.take());
         let may_try = self.may_try(now, class);
-        let holders = self.holders(now, shard);
+        let mut holders = self.holders(now, shard);
+        // Never a mix of lists: what came with a later one is not for this query.
+        let generation = self.queries.get(&self.parts[&id].query).map_or(0, |query| query.generation);
+        holders.retain(|server| self.servers[server].generation <= generation);
         if let Some(server) = back.filter(|server| holders.contains(server)) {
             return Some((0, server));
         }
         let tried = &self.parts[&id].tried;
         let keys = holders.into_iter().map(|server| match self.standing(now, server, may_try) {
-            (_, out, turn) if tried.contains(&server) => (3, out, turn, server),
+            (_, out, turn) if tried.contains(&server) => (4, out, turn, server),
+            (_, out, turn) if self.servers[&server].weight <= 0.0 => (3, out, turn, server),
             (rank, out, turn) => (rank, out, turn, server),
         });
-        let (rank, _, _, server) = keys.min()?;
+        let keys: Vec<_> = keys.collect();
+        let &(rank, _, _, mut server) = keys.iter().min()?;
+        if rank == 0 {
+            let level: Vec<ServerId> = keys.iter().filter(|key| key.0 == 0).map(|key| key.3).collect();
+            server = self.weighed(&level).unwrap_or(server);
+        }
         if rank == 0 && self.doubted(now, &self.servers[&server]) {
             self.trials.push(now);
         }
         Some((rank, server))
     }
 
+    /// Of replicas whose turn it may be, the one that is owed most by their weights: turns are shared in
+    /// proportion and smoothly, the heaviest gets no bursts. `None`: all weigh the same, the turns decide.
+    fn weighed(&mut self, level: &[ServerId]) -> Option<ServerId> {
+        let weight = |id: &ServerId| self.servers[id].weight;
+        let sum: f64 = level.iter().map(weight).sum();
+        if level.iter().all(|id| weight(id) == weight(&level[0])) {
+            return None;
+        }
+        for id in level {
+            let server = self.servers.get_mut(id)?;
+            server.credit = (server.credit + server.weight).min(sum);
+        }
+        let owed = |id: &&ServerId| (self.servers[id].credit, -self.servers[id].turn);
+        let best = *level.iter().max_by(|a, b| owed(a).partial_cmp(&owed(b)).unwrap_or(Ordering::Equal))?;
+        let server = self.servers.get_mut(&best)?;
+        server.credit = (server.credit - sum).max(-sum);
+        Some(best)
+    }
+
     /// Whether there is room for a trial part of this class.
     fn may_try(&mut self, now: Time, class: usize) -> bool {
         self.settings.classes[class].effect == Effect::Safe
@@ -521,7 +559,7 @@
         self.timers.insert((now + gap.max(self.settings.tick), Due::Probe));
     }
 
-    /// 0: takes its turn. 1: overdue. 2: doubted. (`choose` adds 3: tried.) And the parts out.
+    /// 0: takes its turn. 1: overdue. 2: doubted. (`choose` adds 3: weightless, 4: tried.) And the parts out.
     fn standing(&self, now: Time, id: ServerId, may_try: bool) -> (u8, usize, i64) {
         let server = &self.servers[&id];
         if self.doubted(now, server) {
@@ -935,9 +973,14 @@
             if row.ready_at.is_some_and(|at| server.ready_at.is_none_or(|old| at > old)) {
                 (server.pace, server.hint, server.earned) = (1.0, 1.0, earned);
             }
-            server.cell = row.cell;
             server.state = row.state;
             server.ready_at = row.ready_at;
+            if server.cell != row.cell || server.generation == 0 {
+                server.generation = row.generation;
+            }
+            server.cell = row.cell;
+            self.generation = self.generation.max(row.generation);
+            server.weight = if row.weight >= 0.0 && row.weight.is_finite() { row.weight } else { 1.0 };
             server.size = if row.size > 0.0 && row.size.is_finite() { row.size } else { 1.0 };
         }
     }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -656,3 +656,56 @@
         assert_eq!(!sends(&actions).is_empty(), let_in, "overtaken {overtaken}");
     }
 }
+
+/// Turns are shared in proportion to weights, smoothly; a weight of 0 takes only what no other can.
+#[test]
+fn weights_share_turns_smoothly() {
+    let mut rig = Rig::new(safe());
+    let list = |rig: &mut Rig, weights: [f64; 3]| {
+        let row = |id: u32| Listed { weight: weights[id as usize], ..listed(id, ServerState::Ready, None) };
+        rig.play(&[Event::List(ListNews::Full((0..3).map(row).collect()))]);
+    };
+    let play = |rig: &mut Rig, count: usize| -> Vec<u32> {
+        let one = |_| {
+            let (events, _, parts) = rig.query(0, &[0]);
+            let sent = sends(&rig.play(&events))[0].1;
+            rig.after(0.05, &[done(parts[0], 0, Outcome::Ok)]);
+            sent
+        };
+        (0..count).map(one).collect()
+    };
+    list(&mut rig, [1.0, 2.0, 4.0]);
+    let sent = play(&mut rig, 10_000);
+    let share = |id: u32| sent.iter().filter(|&&server| server == id).count() as f64 / sent.len() as f64;
+    for (id, wanted) in [(0, 1.0 / 7.0), (1, 2.0 / 7.0), (2, 4.0 / 7.0)] {
+        assert!((share(id) - wanted).abs() < 0.02 * wanted, "server {id} took {} of the turns", share(id));
+    }
+    let longest = sent.chunk_by(|a, b| a == b).map(<[u32]>::len).max();
+    assert_eq!(longest, Some(2), "the longest run of one replica");
+    list(&mut rig, [1.0, 1.0, 0.0]);
+    let sent = play(&mut rig, 300);
+    assert!(!sent.contains(&2), "others can take it");
+    let gone = [0, 1].map(|id| listed(id, ServerState::Gone, None));
+    rig.play(&[Event::List(ListNews::Delta(gone.to_vec()))]);
+    assert_eq!(play(&mut rig, 3), [2, 2, 2], "no other can");
+}
+
+/// Guards against a query whose parts go to servers of one list and, after a change, to those of another.
+#[test]
+fn a_query_keeps_to_the_servers_of_its_list() {
+    let mut rig = Rig::new(safe());
+    let list = |rig: &mut Rig, generation: u64, ids: std::ops::Range<u32>| {
+        let row = |id| Listed { generation, ..listed(id, ServerState::Ready, None) };
+        rig.play(&[Event::List(ListNews::Full(ids.map(row).collect()))])
+    };
+    list(&mut rig, 1, 0..3);
+    let (events, _, parts) = rig.query(0, &[0]);
+    let first = sends(&rig.play(&events))[0].1;
+    // The next list holds one server of the old one and two new ones.
+    list(&mut rig, 2, 2..5);
+    let again = sends(&rig.after(0.01, &[done(parts[0], 0, Outcome::Reset)]));
+    assert!(again.is_empty() || again[0].1 == 2, "went to {again:?} after {first}");
+    let (events, ..) = rig.query(0, &[0, 1, 2]);
+    let sent: Vec<u32> = sends(&rig.play(&events)).iter().map(|sent| sent.1).collect();
+    assert!(sent.iter().any(|&id| id > 2) && sent.iter().all(|&id| id >= 2), "a new query: {sent:?}");
+}
--- a/wirehost/src/frame.rs
+++ b/wirehost/src/frame.rs
@@ -186,7 +186,8 @@
     };
     let size = f.f32()?;
     let ready_at = f.f64()?;
-    Ok(Listed { server, cell, state, size, ready_at: (ready_at != 0.0).then(|| Time::from_secs(ready_at)) })
+    let ready_at = (ready_at != 0.0).then(|| Time::from_secs(ready_at));
+    Ok(Listed { server, cell, state, size, weight: 1.0, generation: 0, ready_at })
 }
 
 fn outcome(code: u8) -> Result<Outcome, String> {
