Take the list of servers from watched files, kept and found again; add the roster commands

Need: an installation without the agent has no way to tell its servers, and staff would rather edit a file. Change: membership.source = "files": a thread watches (notify and a rescan), settles, reads, checks and keeps lists, and tells the core whole ones; weights ramp, times of servers count; cairnroad roster check, diff, show and apply.

--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -26,6 +26,40 @@
     /// Descriptions of interfaces, in OpenAPI and AsyncAPI
     #[command(subcommand)]
     Contract(Contract),
+    /// The list of servers in files
+    #[command(subcommand)]
+    Roster(Roster),
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Roster {
+    /// Read a roster and print all its faults; without PATH, the configured one
+    Check {
+        /// The folder of its files, or its one file
+        path: Option<PathBuf>,
+        #[command(flatten)]
+        output: Output,
+    },
+    /// Print what a roster would do in place of another
+    #[command(after_help = "Example:\n  cairnroad roster diff storm/ servers.d/")]
+    Diff {
+        /// The new one
+        new: PathBuf,
+        /// The old one; without it, the configured one
+        old: Option<PathBuf>,
+        #[command(flatten)]
+        output: Output,
+    },
+    /// Print the list that was kept last: what is in force and since when
+    Show(Output),
+    /// Check a roster and put it in the configured one's place, as one file and one generation more
+    Apply {
+        /// The new one: a folder or a file
+        new: PathBuf,
+        /// It may take away more servers than is usual
+        #[arg(long)]
+        allow_shrink: bool,
+    },
 }
 
 #[derive(Clone, Copy, Debug, Args)]
--- a/node/src/commands.rs
+++ b/node/src/commands.rs
@@ -1,13 +1,18 @@
 //! The commands that check, show and compare. Each returns its exit code: 0 good, 1 what was checked is at fault or
 //! differs, 2 something can't be read.
 
-use crate::cli::{Contract, Kind, Output};
-use crate::{config, contract, surface};
+use crate::cli::{Contract, Kind, Output, Roster as RosterCommand};
+use crate::{config, contract, membership, surface};
 use cairnroad_contract::diff::{diff, Weight};
 use cairnroad_contract::model::Description;
 use cairnroad_contract::replay::replay;
 use cairnroad_contract::tree::to_yaml;
 use cairnroad_contract::{fault::Faults, publish};
+use cairnroad_roster::decide::{judge, sound, Verdict};
+use cairnroad_roster::keep::{recover, replace, Folder};
+use cairnroad_roster::model::{lines, Roster};
+use cairnroad_roster::plan::plan;
+use cairnroad_roster::read::{moment, read, write};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::path::Path;
@@ -243,3 +248,108 @@
         (true, true) => 0,
     }
 }
+
+/// `roster ...`
+pub fn roster(command: RosterCommand) -> u8 {
+    let done = match command {
+        RosterCommand::Check { path, output } => check_roster(path.as_deref(), output),
+        RosterCommand::Diff { new, old, output } => compare_rosters(&new, old.as_deref(), output),
+        RosterCommand::Show(output) => show_roster(output),
+        RosterCommand::Apply { new, allow_shrink } => apply_roster(&new, allow_shrink),
+    };
+    done.unwrap_or_else(|(code, text)| {
+        complain(&text);
+        code
+    })
+}
+
+/// The roster's source in the configuration.
+fn source() -> Result<config::Source, (u8, String)> {
+    let config = config::load(crate::variable).map_err(|text| (UNREADABLE, text))?;
+    let cause = "'membership.source' is not \"files\" in the project's own file: there is no roster";
+    config.files.ok_or((UNREADABLE, cause.into()))
+}
+
+fn read_roster(path: &Path) -> Result<Roster, (u8, String)> {
+    std::fs::metadata(path).map_err(|e| (UNREADABLE, format!("{}: {e}", path.display())))?;
+    read(&membership::files(path)).map_err(|faults| (FAULTY, lines(&faults)))
+}
+
+fn check_roster(path: Option<&Path>, output: Output) -> Result<u8, (u8, String)> {
+    let source = source()?;
+    let path = path.unwrap_or(&source.path);
+    std::fs::metadata(path).map_err(|e| (UNREADABLE, format!("{}: {e}", path.display())))?;
+    let read = read(&membership::files(path));
+    let faults = match &read {
+        Ok(roster) => sound(roster, &source.layout),
+        Err(faults) => faults.clone(),
+    };
+    match (&read, output.json) {
+        (Ok(roster), false) if faults.is_empty() => print(&format!(
+            "{}: sound: generation {}, {} servers, {} of them active\n",
+            path.display(),
+            roster.generation,
+            roster.servers.len(),
+            roster.active()
+        )),
+        (_, false) => print(&format!("{}\n", lines(&faults))),
+        (_, true) => {
+            let generation = read.as_ref().ok().map(|roster| roster.generation);
+            print(&format!(
+                "{}\n",
+                json!({"sound": faults.is_empty(), "generation": generation, "faults": faults})
+            ));
+        }
+    }
+    Ok(if faults.is_empty() { 0 } else { FAULTY })
+}
+
+fn compare_rosters(new: &Path, old: Option<&Path>, output: Output) -> Result<u8, (u8, String)> {
+    let source = source()?;
+    let (old, new) = (read_roster(old.unwrap_or(&source.path))?, read_roster(new)?);
+    let plan = plan(&old, &new, &source.layout);
+    print(&if output.json { format!("{}\n", json!(plan)) } else { plan.to_string() });
+    Ok(0)
+}
+
+fn show_roster(output: Output) -> Result<u8, (u8, String)> {
+    let source = source()?;
+    let cause = "'membership.state' is not set in the project's own file: no list is kept";
+    let folder = source.state.ok_or((UNREADABLE, cause.to_string()))?;
+    let (kept, wrong) = recover(&Folder(folder.clone()));
+    wrong.iter().for_each(|cause| complain(&format!("{}: {cause}", folder.display())));
+    let kept = kept.ok_or((UNREADABLE, format!("{}: no list is kept here", folder.display())))?;
+    match output.json {
+        true => print(&format!("{}\n", json!({"since": kept.saved, "roster": kept.roster}))),
+        false => print(&format!("# in force since {}\n{}", moment(kept.saved), write(&kept.roster))),
+    }
+    Ok(0)
+}
+
+fn apply_roster(new: &Path, allow_shrink: bool) -> Result<u8, (u8, String)> {
+    let source = source()?;
+    let mut roster = read_roster(new)?;
+    // What is in force: the files as they stand or, where they are broken, what was kept.
+    let kept = source.state.clone().and_then(|folder| recover(&Folder(folder)).0).map(|kept| kept.roster);
+    let standing = read(&membership::files(&source.path)).ok();
+    let old = [standing, kept].into_iter().flatten().max_by_key(|roster| roster.generation);
+    roster.generation = old.as_ref().map_or(0, |old| old.generation) + 1;
+    roster.allow_shrink |= allow_shrink;
+    if let Verdict::Refuse(faults) = judge(old.as_ref(), &roster, &source.layout, source.shrink) {
+        return Err((FAULTY, format!("nothing was written: {}", lines(&faults))));
+    }
+    let failed = |path: &Path, e: std::io::Error| (UNREADABLE, format!("{}: {e}", path.display()));
+    let folder = source.path.is_dir();
+    let target = if folder { source.path.join("roster.toml") } else { source.path.clone() };
+    replace(&target, write(&roster).as_bytes()).map_err(|e| failed(&target, e))?;
+    // Until the last file of the old generation is gone, the folder is refused as a mix.
+    for (name, _) in
+        membership::files(&source.path).iter().filter(|(name, _)| folder && name != "roster.toml")
+    {
+        let path = source.path.join(name);
+        std::fs::remove_file(&path).map_err(|e| failed(&path, e))?;
+    }
+    let plan = plan(&old.unwrap_or_default(), &roster, &source.layout);
+    print(&format!("generation {} written to {}\n{plan}", roster.generation, target.display()));
+    Ok(0)
+}
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -7,6 +7,8 @@
 use crate::words::News;
 use cairnroad_contract::decide::Mode;
 use cairnroad_contract::drift::Interface;
+use cairnroad_roster::decide::USUAL_SHRINK;
+use cairnroad_roster::model::Layout;
 use cairnroad_settings::Deployment;
 use serde::Deserialize;
 use serde_json::json;
@@ -25,7 +27,10 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    /// The agent's address; `None` where the list of servers stands in files.
+    pub discovery: Option<SocketAddr>,
+    /// The files of the list of servers, if it stands in files.
+    pub files: Option<Source>,
     pub seed: u64,
     pub limits: Limits,
     /// The list as an earlier life had it.
@@ -55,11 +60,24 @@
             ("opensearch", self.opensearch != other.opensearch || self.indices != other.indices),
             ("backend", self.backend != other.backend),
             ("log", self.log != other.log),
+            ("membership", self.files != other.files),
         ];
         keys.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect()
     }
 }
 
+/// Where the list of servers comes from, and what it is held to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Source {
+    /// A folder of `*.toml` files, or one file.
+    pub path: PathBuf,
+    /// Where the last good list is kept, if anywhere.
+    pub state: Option<PathBuf>,
+    /// The share of working servers that one list may take away.
+    pub shrink: f64,
+    pub layout: Layout,
+}
+
 /// How the log is written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -200,6 +218,27 @@
     log: Log,
     #[serde(default)]
     contract: OwnContracts,
+    #[serde(default)]
+    membership: OwnMembership,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OwnMembership {
+    #[serde(default)]
+    source: MembershipKind,
+    path: Option<PathBuf>,
+    state: Option<PathBuf>,
+    shrink: Option<f64>,
+}
+
+/// Where the list of servers comes from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum MembershipKind {
+    #[default]
+    Agent,
+    Files,
 }
 
 #[derive(Default, Deserialize)]
@@ -310,11 +349,16 @@
         }
     };
     let indices = indices(own.opensearch.index, &deployment, own_text)?;
+    let files = membership(own.membership, folder, own_text, &deployment)?;
     let contracts = contracts(own.contract, folder, own_text)?;
     Ok(Config {
         name: told("name", "NODE_NAME", json.name).unwrap_or_else(|_| "cairnroad".into()),
         listen: address("listen", told("listen", "NODE_LISTEN", json.listen)?)?,
-        discovery: address("discovery", told("discovery", "NODE_DISCOVERY", json.discovery)?)?,
+        discovery: match files {
+            Some(_) => None,
+            None => Some(address("discovery", told("discovery", "NODE_DISCOVERY", json.discovery)?)?),
+        },
+        files,
         seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("'seed': '{seed}' is not hexadecimal"))?,
         limits: Limits::new(
             limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB),
@@ -355,6 +399,28 @@
     own.into_iter().map(index).collect()
 }
 
+/// The files of the list of servers, where it stands in files.
+fn membership(
+    own: OwnMembership,
+    folder: &Path,
+    text: &str,
+    deployment: &Deployment,
+) -> Result<Option<Source>, Fault> {
+    if own.source == MembershipKind::Agent {
+        return Ok(None);
+    }
+    let missing =
+        || at(text, "membership.path", "the folder of the roster's files, or its one file, is missing");
+    let path = folder.join(own.path.ok_or_else(missing)?);
+    let shrink = own.shrink.unwrap_or(USUAL_SHRINK);
+    if !(0.0..=1.0).contains(&shrink) {
+        return Err(at(text, "membership.shrink", format!("{shrink} is not from 0 to 1")));
+    }
+    let policy = &deployment.policy;
+    let layout = Layout { cells: policy.cells, reach: policy.reach, shards: deployment.shards };
+    Ok(Some(Source { path, state: own.state.map(|state| folder.join(state)), shrink, layout }))
+}
+
 /// The interfaces whose traffic is held against a description.
 fn contracts(own: OwnContracts, folder: &Path, text: &str) -> Result<Vec<(Interface, Plan)>, Fault> {
     let named = [
@@ -402,7 +468,11 @@
         json!({
             "name": self.name,
             "listen": self.listen.to_string(),
-            "discovery": self.discovery.to_string(),
+            "discovery": self.discovery.map(|address| address.to_string()),
+            "membership": self.files.as_ref().map(|source| {
+                let state = source.state.as_ref().map(|state| state.display().to_string());
+                json!({"path": source.path.display().to_string(), "state": state, "shrink": source.shrink})
+            }),
             "limits": {"clients": self.limits.clients, "kept": self.limits.kept, "accepted": self.limits.accepted,
                 "links": self.limits.links},
             "known": {"revision": self.known.revision, "servers": self.known.rows.len()},
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -13,6 +13,7 @@
 mod link;
 mod log;
 mod members;
+mod membership;
 #[cfg(test)]
 mod parser_tests;
 mod pool;
@@ -51,6 +52,7 @@
     match cli::Cli::parse().command {
         None | Some(cli::Command::Serve) => run(),
         Some(cli::Command::CheckConfig(output)) => ExitCode::from(commands::check_config(output)),
+        Some(cli::Command::Roster(command)) => ExitCode::from(commands::roster(command)),
         Some(cli::Command::Contract(command)) => ExitCode::from(commands::contract(command)),
     }
 }
@@ -96,12 +98,14 @@
         if !waiting.is_empty() {
             tracing::warn!(keys = waiting.join(", "), "reload: what changed here takes a restart");
         }
-        tracing::info!(discovery = %fresh.discovery, "reload");
+        if let Some(discovery) = fresh.discovery {
+            tracing::info!(%discovery, "reload");
+            agent.send_if_modified(|address| std::mem::replace(address, discovery) != discovery);
+        }
         if let Err(text) = adopt(&contracts, &fresh).await {
             tracing::error!(cause = text, "reload: the descriptions in force stay");
         }
         config.discovery = fresh.discovery;
-        agent.send_if_modified(|address| std::mem::replace(address, fresh.discovery) != fresh.discovery);
     }
 }
 
@@ -160,8 +164,12 @@
         (to_core.clone(), messages),
         phase.clone(),
     );
-    let (agent, agents) = watch::channel(config.discovery);
-    tokio::task::spawn_local(discovery::watch(agents, to_core, contracts.clone()));
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (agent, agents) = watch::channel(config.discovery.unwrap_or(nowhere));
+    match config.files.clone() {
+        Some(source) => membership::start(source, to_core)?,
+        None => drop(tokio::task::spawn_local(discovery::watch(agents, to_core, contracts.clone()))),
+    }
     let core = tokio::task::spawn_local(core.run(config.deployment.policy.tick));
     tokio::task::spawn_local(reload(hangups, config, agent, contracts));
     tokio::select! {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -79,6 +79,7 @@
     pub shard: u32,
     pub act: Act,
     pub cancelled: Arc<AtomicBool>,
+    pub at: std::time::Instant,
 }
 
 /// What all servers share: the plan, and what they saw.
@@ -108,7 +109,14 @@
         let before = seen.iter().filter(|s| self::marker(&s.text) == marker && s.shard == shard).count();
         let switched = self.switched.lock().unwrap().get(&server).copied();
         let act = switched.unwrap_or_else(|| (self.plan)(marker, shard, before));
-        seen.push(Seen { server, text: text.into(), shard, act, cancelled: Arc::default() });
+        seen.push(Seen {
+            server,
+            text: text.into(),
+            shard,
+            act,
+            cancelled: Arc::default(),
+            at: std::time::Instant::now(),
+        });
         seen.last().unwrap().clone()
     }
 
@@ -499,9 +507,18 @@
             "[opensearch]\nenabled = true\nlisten = \"127.0.0.1:0\"\n[backend]\nkind = \"{kind}\"\n{more}"
         );
         for (name, text) in files {
+            std::fs::create_dir_all(folder.join(name).parent().unwrap()).unwrap();
             std::fs::write(folder.join(name), text).unwrap();
         }
         std::fs::write(folder.join("own.toml"), own).unwrap();
+        let (child, [platform, opensearch], log) = Self::launch(&folder);
+        let rig = Rig { child, platform, opensearch, discovery, stage, folder, log: Mutex::new(log) };
+        rig.wait_until_ready();
+        rig
+    }
+
+    /// Starts the program; where its two fronts listen, and its log.
+    fn launch(folder: &std::path::Path) -> (Child, [SocketAddr; 2], Receiver<String>) {
         let mut child = Command::new(env!("CARGO_BIN_EXE_cairnroad"))
             .env("NODE_CONFIG", folder.join("config.json"))
             .env("CAIRNROAD_FILE", folder.join("own.toml"))
@@ -527,12 +544,21 @@
                 bound.insert(front, address.parse().unwrap());
             }
         }
-        let (platform, opensearch) = (bound["platform"], bound["opensearch"]);
-        let rig = Rig { child, platform, opensearch, discovery, stage, folder, log: Mutex::new(log) };
-        while rig.call(rig.platform, "GET /_health", &[], "").status != 200 {
+        (child, [bound["platform"], bound["opensearch"]], log)
+    }
+
+    fn wait_until_ready(&self) {
+        while self.call(self.platform, "GET /_health", &[], "").status != 200 {
             thread::sleep(Duration::from_millis(5));
         }
-        rig
+    }
+
+    /// Starts the program again, after its end.
+    pub fn restart(&mut self) {
+        let (child, [platform, opensearch], log) = Self::launch(&self.folder);
+        (self.child, self.platform, self.opensearch, self.log) =
+            (child, platform, opensearch, Mutex::new(log));
+        self.wait_until_ready();
     }
 
     /// One request on a connection of its own.
