--- a/node/src/contract.rs
+++ b/node/src/contract.rs
@@ -182,6 +182,7 @@
         }
         // With nothing in force, requests carry nothing and nothing is asked of them.
         self.in_force.replace((!next.is_off()).then(|| Arc::new(next)));
+        self.tell_servers();
         Ok(())
     }
 
@@ -203,9 +204,17 @@
                 _ => servers.insert(row.id.as_str().into(), row.ready_at.map(|at| at.0 as f64 / 1e6)),
             };
         }
-        let list: Vec<Server> =
-            servers.iter().map(|(id, started)| Server { id: id.clone(), started: *started }).collect();
-        lock(&self.ledger).servers(&list);
+        drop(servers);
+        if self.in_force.borrow().is_some() {
+            self.tell_servers();
+        }
+    }
+
+    /// Tells the ledger who is there.
+    fn tell_servers(&self) {
+        let servers = self.servers.borrow();
+        let server = |(id, started): (&Arc<str>, &Option<f64>)| Server { id: id.clone(), started: *started };
+        lock(&self.ledger).servers(&servers.iter().map(server).collect::<Vec<_>>());
     }
 
     fn now(&self) -> f64 {
--- a/node/src/membership.rs
+++ b/node/src/membership.rs
@@ -23,6 +23,10 @@
 /// How long a watcher that could not be set up, as while its folder is gone, is done without before the next try.
 const WATCH_AGAIN: f64 = 1.0;
 
+/// The most changed weights that the core is told at once, and the pause between: some of its ticks.
+const MOST_AT_ONCE: usize = 256;
+const BETWEEN: Duration = Duration::from_millis(10);
+
 /// What tells that a file is another than before: its inode, length and time of change.
 type Stamp = Option<(u64, u64, i64, i64)>;
 
@@ -98,6 +102,9 @@
     /// When servers started, as far as it matters: `None` is long ago.
     started: BTreeMap<String, Option<f64>>,
     slot: Option<usize>,
+    /// What the core was told of each server, and weights that it is still to be told.
+    rows: BTreeMap<String, Row>,
+    weighed: BTreeMap<String, Row>,
     /// The faults that were told last, so that each is told once, and whether the state folder failed last time.
     told: String,
     unkept: u64,
@@ -111,6 +118,8 @@
         schedule: Schedule::default(),
         in_force: None,
         started: BTreeMap::new(),
+        rows: BTreeMap::new(),
+        weighed: BTreeMap::new(),
         slot: None,
         told: String::new(),
         unkept: 0,
@@ -132,8 +141,9 @@
         settle.read(now(), clear);
         while !self.core.is_closed() {
             let own = self.schedule.next(unix()).map_or(f64::MAX, |at| now() + (at - unix()));
-            let wait = (settle.due().min(own) - now()).max(0.0);
-            match changes.recv_timeout(Duration::from_secs_f64(wait)) {
+            let wait = Duration::from_secs_f64((settle.due().min(own) - now()).max(0.0));
+            let wait = if self.weighed.is_empty() { wait } else { wait.min(BETWEEN) };
+            match changes.recv_timeout(wait) {
                 Ok(()) => {
                     settle.changed(now());
                     // One change of a file is several events.
@@ -155,6 +165,9 @@
             if now() >= own && self.in_force.is_some() && !self.tell() {
                 return;
             }
+            if !self.weighed.is_empty() && !self.tell_weights() {
+                return;
+            }
         }
         drop(watcher);
     }
@@ -271,31 +284,64 @@
         self.tell()
     }
 
-    /// Tells the core the list as it counts now; whether the core is still there.
-    fn tell(&self) -> bool {
+    /// Tells the core what counts otherwise than it was told; whether the core is still there. Servers that come, go or
+    /// change are told in one word, so that no query sees half of it. Steps of weights follow in small ones: thousands at
+    /// once would hold the core's thread up.
+    fn tell(&mut self) -> bool {
         let now = unix();
         let roster = self.schedule.roster();
-        let row = |(id, server): (&String, &cairnroad_roster::model::Server)| {
-            let at = self.schedule.at(now, id)?;
+        let mut rows = BTreeMap::new();
+        for (id, server) in &roster.servers {
+            let Some(at) = self.schedule.at(now, id) else { continue };
             let state = match at.phase {
                 Phase::Active => ServerState::Ready,
                 Phase::Leaving => ServerState::Draining,
             };
-            let ready_at = self.started.get(id).copied().flatten().map(|secs| Time((secs * 1e6) as i64));
-            Some(Row {
+            let before = self.rows.get(id);
+            // A server is of the list that brought it, or brought it to its cell.
+            let stays = before.filter(|row| row.cell == server.cell);
+            let row = Row {
                 id: id.clone(),
                 address: server.address,
                 cell: server.cell,
                 state,
                 size: 1.0,
                 weight: at.weight,
-                generation: roster.generation,
-                ready_at,
-            })
-        };
-        let rows = roster.servers.iter().filter_map(row).collect();
-        let news = News { revision: roster.generation, complete: true, rows };
-        self.core.blocking_send(Message::News(news)).is_ok()
+                generation: stays.map_or(roster.generation, |row| row.generation),
+                ready_at: self.started.get(id).copied().flatten().map(|secs| Time((secs * 1e6) as i64)),
+            };
+            rows.insert(id.clone(), row);
+        }
+        let first = self.rows.is_empty();
+        let (mut changed, mut weighed) = (Vec::new(), Vec::new());
+        for (id, row) in &rows {
+            match self.rows.get(id) {
+                Some(before) if before == row => {}
+                Some(before) if *before == (Row { weight: before.weight, ..row.clone() }) => {
+                    weighed.push(row.clone())
+                }
+                _ => changed.push(row.clone()),
+            }
+        }
+        let gone = self.rows.iter().filter(|(id, _)| !rows.contains_key(*id));
+        changed.extend(gone.map(|(_, row)| Row { state: ServerState::Gone, ..row.clone() }));
+        self.rows = rows;
+        let revision = roster.generation;
+        let news = |rows, complete| Message::News(News { revision, complete, rows });
+        changed.iter().for_each(|row| drop(self.weighed.remove(&row.id)));
+        self.weighed.extend(weighed.into_iter().map(|row| (row.id.clone(), row)));
+        (!first && changed.is_empty()) || self.core.blocking_send(news(changed, first)).is_ok()
+    }
+
+    /// Tells the core some of the weights that wait; whether the core is still there.
+    fn tell_weights(&mut self) -> bool {
+        let mut rows = Vec::new();
+        while rows.len() < MOST_AT_ONCE {
+            let Some((_, row)) = self.weighed.pop_first() else { break };
+            rows.push(row);
+        }
+        let revision = self.schedule.roster().generation;
+        self.core.blocking_send(Message::News(News { revision, complete: false, rows })).is_ok()
     }
 }
 
--- a/node/src/words.rs
+++ b/node/src/words.rs
@@ -132,7 +132,7 @@
 }
 
 /// One server's line, understood.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Row {
     pub id: String,
     pub address: SocketAddr,
--- a/roster/src/read.rs
+++ b/roster/src/read.rs
@@ -27,6 +27,7 @@
 pub type File = (String, Result<String, String>);
 
 #[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
 struct Form {
     generation: Option<Spanned<Value>>,
     allow_shrink: Option<Spanned<Value>>,
@@ -34,8 +35,6 @@
     server: Vec<Spanned<Table>>,
     #[serde(default)]
     weights: BTreeMap<String, Spanned<Value>>,
-    #[serde(flatten)]
-    other: BTreeMap<String, Value>,
 }
 
 /// Everything found so far, over all files.
@@ -76,8 +75,19 @@
     found.finish()
 }
 
-fn line(text: &str, at: usize) -> usize {
-    text.as_bytes().iter().take(at).filter(|&&b| b == b'\n').count() + 1
+/// Where lines begin, for looking up the line of each of thousands of entries.
+struct Lines(Vec<usize>);
+
+impl Lines {
+    fn of(text: &str) -> Lines {
+        let ends = text.bytes().enumerate().filter(|(_, b)| *b == b'\n');
+        Lines(std::iter::once(0).chain(ends.map(|(at, _)| at + 1)).collect())
+    }
+
+    /// The line of a byte, from 1.
+    fn at(&self, byte: usize) -> usize {
+        self.0.partition_point(|&start| start <= byte)
+    }
 }
 
 impl Found {
@@ -91,12 +101,17 @@
         if text.trim().is_empty() {
             return self.fault(name, 0, "the file is empty: it may be half-written");
         }
+        let lines = Lines::of(text);
         let form: Form = match toml::from_str(text) {
             Ok(form) => form,
             Err(e) => {
-                let at = e.span().map_or(0, |span| line(text, span.start));
+                let at = e.span().map_or(0, |span| lines.at(span.start));
                 let cause = e.message().trim().replace('\n', ": ");
-                return self.fault(name, at, format!("this is no TOML, or half-written: {cause}"));
+                let cause = match cause.starts_with("unknown field") {
+                    true => cause,
+                    false => format!("this is no TOML, or half-written: {cause}"),
+                };
+                return self.fault(name, at, cause);
             }
         };
         if text.trim_end().lines().last().is_none_or(|last| last.trim() != END) {
@@ -104,15 +119,10 @@
             let cause = format!("the last line must be '{END}': a file without it may be half-written");
             self.fault(name, last, cause);
         }
-        for key in form.other.keys() {
-            let cause =
-                format!("'{key}' is not known: generation, allow_shrink, [[server]] and [weights] are");
-            self.fault(name, 0, cause);
-        }
         match form.generation {
             None => self.fault(name, 0, "'generation' is missing: every file of a roster carries the same"),
             Some(value) => {
-                let at = line(text, value.span().start);
+                let at = lines.at(value.span().start);
                 match value.into_inner() {
                     Value::Integer(generation) if generation > 0 => {
                         self.generations.push((name.into(), at, generation as u64));
@@ -124,18 +134,18 @@
             }
         }
         if let Some(value) = form.allow_shrink {
-            let at = line(text, value.span().start);
+            let at = lines.at(value.span().start);
             match value.into_inner() {
                 Value::Boolean(allow) => self.allow_shrink |= allow,
                 other => self.fault(name, at, format!("'allow_shrink': {other} is neither true nor false")),
             }
         }
         for entry in form.server {
-            let at = line(text, entry.span().start);
+            let at = lines.at(entry.span().start);
             self.server(name, at, entry.into_inner());
         }
         for (id, value) in form.weights {
-            let at = line(text, value.span().start);
+            let at = lines.at(value.span().start);
             let Some(weight) = self.weight(name, at, &value.into_inner()) else { continue };
             if let Some((_, file, line)) = self.weights.get(&id) {
                 let cause = format!("the weight of '{id}' stands in {file}:{line}, too");
