--- /dev/null
+++ b/lab/src/ledger.rs
@@ -0,0 +1,97 @@
+//! The reference ledger: what every part of every query brings, and every run of every part.
+
+use std::collections::BTreeMap;
+
+/// A query's marker in its text, and its class: `~1:17~` is query 17 of class 1.
+pub fn text(class: usize, query: u64) -> String {
+    format!("~{class}:{query}~")
+}
+
+/// Class and query of a text, whatever is around the marker.
+pub fn marker(text: &str) -> Option<(usize, u64)> {
+    let (class, query) = text.split('~').nth(1)?.split_once(':')?;
+    Some((class.parse().ok()?, query.parse().ok()?))
+}
+
+/// What a sound server gives for a part.
+pub fn value(query: u64, shard: u32) -> String {
+    format!("stock {query}/{shard}")
+}
+
+/// A part that reached a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub at: f64,
+    pub server: usize,
+    pub class: usize,
+    pub query: u64,
+    pub shard: u32,
+    /// It began to run, or may have.
+    pub ran: bool,
+}
+
+/// Everything that reached servers, and when servers were taken off the list.
+#[derive(Default)]
+pub struct Ledger {
+    pub arrivals: Vec<Arrival>,
+    pub removed: BTreeMap<usize, f64>,
+    pub fallen: Vec<usize>,
+}
+
+/// How long a removed server may still get something new, in seconds.
+const GRACE: f64 = 0.25;
+
+impl Ledger {
+    /// Rules that were broken, in words. `once`: which classes' parts may run once only.
+    pub fn broken(&self, once: &[bool]) -> Vec<String> {
+        let mut broken = Vec::new();
+        let mut runs: BTreeMap<(u64, u32), usize> = BTreeMap::new();
+        for arrival in &self.arrivals {
+            if arrival.ran && once.get(arrival.class).copied().unwrap_or(false) {
+                *runs.entry((arrival.query, arrival.shard)).or_default() += 1;
+            }
+            if let Some(gone) = self.removed.get(&arrival.server).filter(|gone| arrival.at > **gone + GRACE) {
+                let late = (arrival.at - gone) * 1000.0;
+                broken
+                    .push(format!("server {} got a part {late:.0} ms after it was removed", arrival.server));
+            }
+        }
+        for ((query, shard), runs) in runs.into_iter().filter(|(_, runs)| *runs > 1) {
+            broken.push(format!("part {shard} of query {query} may run once and ran {runs} times"));
+        }
+        broken.extend(self.fallen.iter().map(|server| format!("server {server} fell over, cold")));
+        broken
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_breaks_a_rule_is_told_and_nothing_else() {
+        assert_eq!(marker(&format!("{{\"q\":\"{}\"}}", text(1, 17))), Some((1, 17)));
+        assert_eq!(marker("no marker"), None);
+        let arrival = |at, server, class, ran| Arrival { at, server, class, query: 7, shard: 2, ran };
+        // A safe part may run twice; an unsafe one that was turned away may go again.
+        let arrivals = vec![
+            arrival(1.0, 0, 0, true),
+            arrival(1.1, 1, 0, true),
+            arrival(1.0, 0, 1, false),
+            arrival(1.2, 1, 1, true),
+        ];
+        let mut ledger = Ledger { arrivals, ..Ledger::default() };
+        ledger.removed.insert(1, 1.0);
+        assert!(ledger.broken(&[false, true]).is_empty());
+        ledger.arrivals.push(arrival(1.24, 1, 1, true));
+        ledger.arrivals.push(arrival(1.26, 1, 0, true));
+        let broken = ledger.broken(&[false, true]);
+        assert_eq!(
+            broken,
+            [
+                "server 1 got a part 260 ms after it was removed",
+                "part 2 of query 7 may run once and ran 2 times"
+            ]
+        );
+    }
+}
