--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -260,7 +260,7 @@
 }
 
 fn request(due: &Due, number: u32, left: f64) -> Vec<u8> {
-    let text = text(due.class, due.query);
+    let text = text(due.class, due.query, number);
     let (head, body) = if due.query_front {
         let shards = due.shards.iter().map(u32::to_string).collect::<Vec<_>>().join(",");
         let body = json!({"query": {"match": {"lab": text}}, "size": 100}).to_string();
