--- a/node/src/membership.rs
+++ b/node/src/membership.rs
@@ -105,6 +105,8 @@
     /// What the core was told of each server, and weights that it is still to be told.
     rows: BTreeMap<String, Row>,
     weighed: BTreeMap<String, Row>,
+    /// The stamps of the files that hold what is in force.
+    clear: Vec<Stamp>,
     /// The faults that were told last, so that each is told once, and whether the state folder failed last time.
     told: String,
     unkept: u64,
@@ -120,6 +122,7 @@
         started: BTreeMap::new(),
         rows: BTreeMap::new(),
         weighed: BTreeMap::new(),
+        clear: Vec::new(),
         slot: None,
         told: String::new(),
         unkept: 0,
@@ -203,8 +206,14 @@
         self.take(roster);
     }
 
-    /// Reads the files. Whether they hold what is in force now.
+    /// Reads the files, if they are others than those in force. Whether they hold what is in force now.
     fn look(&mut self) -> bool {
+        // A large list is not read again every second.
+        let standing = paths(&self.source.path).map(|paths| stamps(&paths)).unwrap_or_default();
+        if !standing.is_empty() && standing == self.clear {
+            return true;
+        }
+        self.clear.clear();
         let (files, before) = scan(&self.source.path);
         if !before.is_empty() && before != stamps(&paths(&self.source.path).unwrap_or_default()) {
             return false; // written while it was read: what was read may be of no writer's meaning
@@ -214,6 +223,7 @@
             Ok(roster) => {
                 let verdict = judge(self.in_force.as_ref(), &roster, &self.source.layout, self.source.shrink);
                 if verdict == Verdict::Take {
+                    self.clear = before;
                     return self.accept(roster);
                 }
                 verdict
@@ -235,6 +245,7 @@
             }
             _ => {
                 self.told.clear();
+                self.clear = before;
                 true
             }
         }
