Count what a coordinator does in one log line, to add up over the fleet

Change: node/src/tally.rs counts queries, sends, copies, dials, outcomes, refusals before any send, lists; with the decisions' beliefs (src/logic/beliefs.rs) one line every log.tally_s seconds, off as shipped. Decisions are unchanged.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -86,6 +86,9 @@
     pub level: log::Level,
     #[serde(default)]
     pub format: log::Form,
+    /// Seconds between two lines of counts; 0: none.
+    #[serde(default)]
+    pub tally_s: u32,
 }
 
 /// How an interface's traffic is to be held against its description.
@@ -481,7 +484,8 @@
             "opensearch": {"listen": self.opensearch.map(|address| address.to_string()),
                 "indices": self.indices.iter().map(index).collect::<Vec<_>>()},
             "backend": text(&self.backend),
-            "log": {"level": text(&self.log.level), "format": text(&self.log.format)},
+            "log": {"level": text(&self.log.level), "format": text(&self.log.format),
+                "tally_s": self.log.tally_s},
             "contract": self.contracts.iter().map(contract).collect::<serde_json::Map<_, _>>(),
         })
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -19,6 +19,7 @@
 mod pool;
 mod stages;
 mod surface;
+mod tally;
 mod wheel;
 mod words;
 
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -6,6 +6,7 @@
 use crate::config::{BackendKind, Config};
 use crate::contract::Contracts;
 use crate::link::{Command, LinkEnd, Shared};
+use crate::tally::{Count, Tally};
 use crate::words::{Attempt, Ended, Job, LinkEvent, Message, Row, What};
 use cairnroad::{Outcome, ServerId, ServerState, Time};
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,7 +29,13 @@
 /// What a connection brought to the core's table.
 pub enum Brought {
     Attempt(Ended),
-    Probe { server: ServerId, outcome: Outcome, report: Vec<f64> },
+    Probe {
+        server: ServerId,
+        outcome: Outcome,
+        report: Vec<f64>,
+    },
+    /// A connection ended that was never up.
+    NotUp,
 }
 
 /// The core's end of a connection.
@@ -82,6 +89,7 @@
     id: Arc<str>,
     address: SocketAddr,
     state: ServerState,
+    ready_at: Option<Time>,
 }
 
 pub struct Pool {
@@ -153,7 +161,8 @@
         }
         for (server, row) in rows {
             let id = row.id.as_str().into();
-            self.nodes.insert(*server, Node { id, address: row.address, state: row.state });
+            self.nodes
+                .insert(*server, Node { id, address: row.address, state: row.state, ready_at: row.ready_at });
         }
         for link in self.links.values_mut() {
             let Some(node) = self.nodes.get(&link.server) else { continue };
@@ -176,7 +185,7 @@
 
     /// Sends what is staged, call by call. Returns the parts that no connection takes, and new dials with the
     /// moment by which each must be up.
-    pub fn flush(&mut self, now: Time) -> (Vec<Ended>, Vec<(u64, Time)>) {
+    pub fn flush(&mut self, now: Time, tally: &mut Tally) -> (Vec<Ended>, Vec<(u64, Time)>) {
         let (mut failed, mut dials) = (Vec::new(), Vec::new());
         for (server, mut jobs) in std::mem::take(&mut self.staged) {
             while !jobs.is_empty() {
@@ -192,6 +201,7 @@
                     continue;
                 };
                 let Some(link) = self.links.get_mut(&id) else { continue };
+                tally.add(Count::Calls);
                 for job in &call {
                     link.out.insert(job.attempt);
                     self.out.insert(job.attempt, id);
@@ -281,6 +291,21 @@
         }
     }
 
+    /// Whether an attempt is still waited for.
+    pub fn is_out(&self, attempt: Attempt) -> bool {
+        self.out.contains_key(&attempt)
+    }
+
+    /// Whether a server started less than so many seconds ago.
+    pub fn is_young(&self, now: Time, server: ServerId, warm_up: f64) -> bool {
+        self.nodes.get(&server).and_then(|node| node.ready_at).is_some_and(|at| now - at < warm_up)
+    }
+
+    /// How many connections there are, up or being dialled.
+    pub fn links(&self) -> usize {
+        self.links.len()
+    }
+
     /// Stops waiting for an attempt and tells the server, or drops it where it is still staged.
     pub fn cancel(&mut self, now: Time, attempt: Attempt) {
         for jobs in self.staged.values_mut() {
@@ -369,8 +394,8 @@
             }
             What::Probed { outcome, report } => Some(Brought::Probe { server: link.server, outcome, report }),
             What::Closed => {
-                self.links.remove(&event.link);
-                None
+                let link = self.links.remove(&event.link)?;
+                (!link.up).then_some(Brought::NotUp)
             }
         }
     }
@@ -399,6 +424,10 @@
         });
     }
 
+    fn tally() -> Tally {
+        Tally::new(0.0, Time(0))
+    }
+
     fn list(address: SocketAddr, state: ServerState) -> Vec<(ServerId, Row)> {
         let row = Row {
             id: "s".into(),
@@ -431,7 +460,11 @@
             for (number, (sent, cancelled, dials)) in turns.drain(..).enumerate() {
                 let attempt = Attempt { part: RequestId(number as u64), number: 0 };
                 pool.stage(ServerId(0), job(attempt, &clock));
-                assert_eq!(pool.flush(start + sent).1.len(), usize::from(dials), "part {number}");
+                assert_eq!(
+                    pool.flush(start + sent, &mut tally()).1.len(),
+                    usize::from(dials),
+                    "part {number}"
+                );
                 if dials {
                     let Some(Message::Link(event)) = messages.recv().await else { panic!("no connection") };
                     assert!(matches!(event.what, What::Up));
@@ -451,7 +484,7 @@
             let now = clock.now();
             let send = |pool: &mut Pool, number| {
                 pool.stage(ServerId(0), job(Attempt { part: RequestId(number), number: 0 }, &clock));
-                pool.flush(now).1.len()
+                pool.flush(now, &mut tally()).1.len()
             };
             assert_eq!(send(&mut pool, 1), 1);
             let (mut server, _) = listener.accept().await.unwrap();
@@ -479,7 +512,7 @@
             let address = listener.local_addr().unwrap();
             let attempt = Attempt { part: RequestId(2), number: 0 };
             pool.stage(ServerId(0), job(attempt, &clock));
-            let (failed, dials) = pool.flush(clock.now());
+            let (failed, dials) = pool.flush(clock.now(), &mut tally());
             assert_eq!((failed.len(), dials.len()), (0, 1));
             pool.note_list(&list(address, ServerState::Draining), false);
             let Some(Message::Link(event)) = messages.recv().await else { panic!("no outcome") };
--- a/node/src/stages/admit.rs
+++ b/node/src/stages/admit.rs
@@ -1,13 +1,15 @@
 //! Admit: lets a request in, with ids of its own, or refuses it at once where the coordinator holds all it may.
 
 use super::{book::Book, route::Route};
+use crate::tally::{Count, Tally};
 use crate::words::{Answer, Ask};
 use cairnroad::{ClassId, Event, Time};
 
 /// Advice for a request that finds the coordinator full, as a share of its class's aim.
 const FULL_ADVICE: f64 = 0.5;
 
-pub fn admit(now: Time, ask: Ask, book: &mut Book, route: &mut Route) {
+pub fn admit(now: Time, ask: Ask, book: &mut Book, route: &mut Route, tally: &mut Tally) {
+    tally.add(if ask.request.repeat { Count::Repeats } else { Count::Queries });
     if ask.reply.is_closed() {
         return; // its client left before it was taken in
     }
@@ -18,6 +20,7 @@
         return;
     }
     if !book.has_room(ask.request.parts.len()) {
+        tally.add(Count::Full);
         let retry_after = FULL_ADVICE * route.aim(ask.request.class);
         let _ = ask.reply.send(Answer::Refused { retry_after, busy: true });
         return;
--- a/node/src/stages/book.rs
+++ b/node/src/stages/book.rs
@@ -75,6 +75,11 @@
         self.names.contains(name)
     }
 
+    /// How many attempts an open part has had.
+    pub fn attempts(&self, part: RequestId) -> u8 {
+        self.parts.get(&part).map_or(0, |&(_, _, attempts)| attempts)
+    }
+
     /// Opens a request: its id, and its parts' ids.
     pub fn open(&mut self, now: Time, ask: Ask) -> (RequestId, Vec<(RequestId, PartSpec)>) {
         while self.taken.front().is_some_and(|(at, _)| now - *at > NAME_KEPT) {
--- a/node/src/stages/mod.rs
+++ b/node/src/stages/mod.rs
@@ -16,9 +16,10 @@
 use crate::contract::Contracts;
 use crate::discovery::{self, Directory};
 use crate::pool::{Brought, Pool};
+use crate::tally::{Count, Tally};
 use crate::wheel::{Due, Wheel};
 use crate::words::{Ask, Attempt, Ended, Message, News, Phase};
-use cairnroad::{Event, Outcome, Time};
+use cairnroad::{Action, Event, Outcome, Time};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -43,6 +44,8 @@
     phase: Rc<watch::Sender<Phase>>,
     started: Time,
     fresh_list: bool,
+    tally: Tally,
+    warm_up: f64,
 }
 
 impl Core {
@@ -70,6 +73,8 @@
             phase,
             started: now,
             fresh_list: false,
+            tally: Tally::new(f64::from(config.log.tally_s), now),
+            warm_up: config.deployment.policy.warm_up,
         };
         core.note_news(&config.known, true);
         core
@@ -102,6 +107,7 @@
                     Some(Brought::Probe { server, outcome, report }) => {
                         self.route.push(Event::Probed { server, outcome, report });
                     }
+                    Some(Brought::NotUp) => self.tally.add(Count::DialFaults),
                     None => {}
                 },
             }
@@ -126,29 +132,51 @@
             self.book.close(query);
         }
         for ask in self.intake.take() {
-            admit::admit(now, ask, &mut self.book, &mut self.route);
+            admit::admit(now, ask, &mut self.book, &mut self.route, &mut self.tally);
         }
         // Sends that fail at once bring outcomes, which are the next call's events; three attempts a part
         // bound the rounds.
         while self.route.has_events() {
             for action in self.route.decide(now) {
+                self.tally.action(&action);
                 if relay::is_final(&action) {
-                    relay::relay(&action, now, &mut self.book);
+                    relay::relay(&action, now, &mut self.book, &mut self.tally);
                 } else {
+                    self.count_send(now, &action);
                     send::carry(now, &action, &mut self.book, &mut self.pool, &mut self.wheel);
                 }
             }
-            for ended in send::flush(now, &mut self.pool, &mut self.wheel) {
+            for ended in send::flush(now, &mut self.pool, &mut self.wheel, &mut self.tally) {
                 self.ended(ended);
             }
         }
+        let (links, route) = (self.pool.links(), &self.route);
+        if let Some(line) = self.tally.line(now, links, || route.beliefs(now)) {
+            tracing::info!("tally {line}");
+        }
         let current = *self.phase.borrow();
         if current == Phase::Starting && self.is_ready(now) {
             self.phase.send_replace(Phase::Serving);
         }
     }
 
+    /// Counts a send by what it is: a further attempt, a copy, one to a server that may be cold.
+    fn count_send(&mut self, now: Time, action: &Action) {
+        let Action::Send { part, server, .. } = *action else { return };
+        let earlier = self.book.attempts(part);
+        if earlier > 0 {
+            self.tally.add(Count::Further);
+        }
+        if (0..earlier).any(|number| self.pool.is_out(Attempt { part, number })) {
+            self.tally.add(Count::Copies);
+        }
+        if self.pool.is_young(now, server, self.warm_up) {
+            self.tally.add(Count::Cold);
+        }
+    }
+
     fn ended(&mut self, ended: Ended) {
+        self.tally.outcome(ended.outcome);
         let Attempt { part, number } = ended.attempt;
         self.book.note(&ended);
         self.route.push(Event::Done { id: part, attempt: number, outcome: ended.outcome });
@@ -156,6 +184,9 @@
 
     fn note_news(&mut self, news: &News, cached: bool) {
         self.contracts.note_list(&news.rows, news.complete);
+        if !news.rows.is_empty() {
+            self.tally.add(if news.complete { Count::Lists } else { Count::Changes });
+        }
         let rows = self.directory.number(news);
         self.pool.note_list(&rows, news.complete);
         self.route.push(Event::List(discovery::list_news(&rows, news.complete, cached)));
--- a/node/src/stages/relay.rs
+++ b/node/src/stages/relay.rs
@@ -1,6 +1,7 @@
 //! Relay: words the decisions' final answers and gives each to its front, once.
 
 use super::book::Book;
+use crate::tally::{Count, Tally};
 use crate::words::Answer;
 use cairnroad::{Action, Time};
 
@@ -12,7 +13,7 @@
     matches!(action, Action::Answer { .. } | Action::Refuse { .. } | Action::Fail { .. })
 }
 
-pub fn relay(action: &Action, now: Time, book: &mut Book) {
+pub fn relay(action: &Action, now: Time, book: &mut Book, tally: &mut Tally) {
     let id = match *action {
         Action::Answer { query, .. } | Action::Refuse { query, .. } | Action::Fail { query } => query,
         _ => return,
@@ -22,6 +23,9 @@
     let answer = match *action {
         Action::Answer { whole, .. } => Answer::Served { whole, parts: open.answers() },
         Action::Refuse { retry_after, .. } => {
+            if open.never_sent() {
+                tally.add(Count::Unsent);
+            }
             Answer::Refused { retry_after: retry_after.unwrap_or(ADVICE), busy: open.never_sent() }
         }
         _ => Answer::Failed { late: open.is_late(now) },
--- a/node/src/stages/route.rs
+++ b/node/src/stages/route.rs
@@ -1,7 +1,7 @@
 //! Route: the decisions, called once with all events of a tick.
 
 use crate::config::Config;
-use cairnroad::{Action, Aggregator, Event, Time};
+use cairnroad::{Action, Aggregator, Beliefs, Event, Time};
 
 pub struct Route {
     aggregator: Aggregator,
@@ -36,6 +36,11 @@
         }
     }
 
+    /// What the decisions believe of the servers, for the log.
+    pub fn beliefs(&self, now: Time) -> Beliefs {
+        self.aggregator.beliefs(now)
+    }
+
     /// How many servers the decisions know.
     #[cfg(test)]
     pub fn servers(&self) -> usize {
--- a/node/src/stages/send.rs
+++ b/node/src/stages/send.rs
@@ -3,6 +3,7 @@
 
 use super::book::Book;
 use crate::pool::Pool;
+use crate::tally::{Count, Tally};
 use crate::wheel::{Due, Wheel};
 use crate::words::{Attempt, Ended};
 use cairnroad::{Action, Time};
@@ -24,9 +25,10 @@
 }
 
 /// Sends what is staged; returns attempts that could not be sent at all.
-pub fn flush(now: Time, pool: &mut Pool, wheel: &mut Wheel<Due>) -> Vec<Ended> {
-    let (failed, dials) = pool.flush(now);
+pub fn flush(now: Time, pool: &mut Pool, wheel: &mut Wheel<Due>, tally: &mut Tally) -> Vec<Ended> {
+    let (failed, dials) = pool.flush(now, tally);
     for (link, at) in dials {
+        tally.add(Count::Dials);
         wheel.insert(at, Due::Dial(link));
     }
     failed
--- /dev/null
+++ b/node/src/tally.rs
@@ -0,0 +1,144 @@
+//! What this coordinator did and met since its last line, counted for the log: figures that can be added up over a
+//! fleet, to see what many coordinators do together. It decides nothing.
+
+use cairnroad::{Action, Beliefs, Outcome, Time};
+
+/// What is counted, by its name on the line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Count {
+    Queries,
+    Repeats,
+    Full,
+    Served,
+    Partial,
+    Unsent,
+    Refused,
+    Failed,
+    Sends,
+    Further,
+    Copies,
+    Cold,
+    Cancels,
+    Probes,
+    Calls,
+    Dials,
+    DialFaults,
+    Ok,
+    Errors,
+    Busy,
+    Timeouts,
+    NoConnection,
+    Resets,
+    Lists,
+    Changes,
+}
+
+const NAMES: [&str; 25] = [
+    "queries",
+    "repeats",
+    "full",
+    "served",
+    "partial",
+    "unsent",
+    "refused",
+    "failed",
+    "sends",
+    "further",
+    "copies",
+    "cold",
+    "cancels",
+    "probes",
+    "calls",
+    "dials",
+    "dial_faults",
+    "ok",
+    "errors",
+    "busy",
+    "timeouts",
+    "no_connection",
+    "resets",
+    "lists",
+    "changes",
+];
+
+/// Counts since the last line.
+pub struct Tally {
+    counts: [u32; NAMES.len()],
+    every: f64,
+    told: Time,
+}
+
+impl Tally {
+    /// A tally that has a line due every so many seconds; 0: never.
+    pub fn new(every: f64, now: Time) -> Self {
+        Tally { counts: [0; NAMES.len()], every, told: now }
+    }
+
+    pub fn add(&mut self, count: Count) {
+        let count = &mut self.counts[count as usize];
+        *count = count.saturating_add(1);
+    }
+
+    pub fn action(&mut self, action: &Action) {
+        match action {
+            Action::Answer { whole: true, .. } => self.add(Count::Served),
+            Action::Answer { whole: false, .. } => self.add(Count::Partial),
+            Action::Refuse { .. } => self.add(Count::Refused),
+            Action::Fail { .. } => self.add(Count::Failed),
+            Action::Send { .. } => self.add(Count::Sends),
+            Action::Cancel { .. } => self.add(Count::Cancels),
+            Action::Probe(_) => self.add(Count::Probes),
+            Action::Wake(_) | Action::Subscribe => {}
+        }
+    }
+
+    pub fn outcome(&mut self, outcome: Outcome) {
+        self.add(match outcome {
+            Outcome::Ok => Count::Ok,
+            Outcome::Error => Count::Errors,
+            Outcome::Full => Count::Busy,
+            Outcome::Timeout | Outcome::Cancelled => Count::Timeouts,
+            Outcome::ConnectFailed | Outcome::Moot => Count::NoConnection,
+            Outcome::Reset => Count::Resets,
+        });
+    }
+
+    /// The line that is due, if one is and anything was counted: what is not 0, then what is believed and open.
+    pub fn line(&mut self, now: Time, links: usize, beliefs: impl FnOnce() -> Beliefs) -> Option<String> {
+        if self.every <= 0.0 || now - self.told < self.every {
+            return None;
+        }
+        self.told = now;
+        let counts = std::mem::replace(&mut self.counts, [0; NAMES.len()]);
+        if counts.iter().all(|&count| count == 0) {
+            return None;
+        }
+        let pairs = NAMES.iter().zip(counts).filter(|(_, count)| *count > 0);
+        let mut line: Vec<String> = pairs.map(|(name, count)| format!("{name}={count}")).collect();
+        let Beliefs { ready, doubted, overdue, cold, usual_ms } = beliefs();
+        line.push(format!(
+            "links={links} ready={ready} doubted={doubted} overdue={overdue} young={cold} usual_ms={usual_ms:?}"
+        ));
+        Some(line.join(" "))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_line_tells_what_was_counted_since_the_last_one() {
+        let start = Time::from_secs(10.0);
+        let mut tally = Tally::new(5.0, start);
+        tally.add(Count::Dials);
+        tally.outcome(Outcome::Reset);
+        tally.outcome(Outcome::Reset);
+        let beliefs = || Beliefs { ready: 3, doubted: 1, ..Beliefs::default() };
+        assert_eq!(tally.line(start + 4.9, 2, beliefs), None, "not due");
+        let line = tally.line(start + 5.0, 2, beliefs).unwrap();
+        assert_eq!(line, "dials=1 resets=2 links=2 ready=3 doubted=1 overdue=0 young=0 usual_ms=[]");
+        assert_eq!(tally.line(start + 20.0, 2, beliefs), None, "nothing was counted since");
+        assert_eq!(Tally::new(0.0, start).line(start + 99.0, 0, beliefs), None, "off");
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -258,6 +258,21 @@
     Wake,
 }
 
+/// What an aggregator believes of its servers at a moment, for its log.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Beliefs {
+    /// Servers that the list calls ready.
+    pub ready: usize,
+    /// Of these: doubted, with an overdue part, and younger than the warm-up time.
+    pub doubted: usize,
+    /// With an overdue part.
+    pub overdue: usize,
+    /// Younger than the warm-up time.
+    pub cold: usize,
+    /// Each class's usual answer time in milliseconds.
+    pub usual_ms: Vec<u32>,
+}
+
 /// Something to be done.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Action {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,6 +7,8 @@
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod beliefs;
+
 /// A part's one copy goes out after this share of its class's aim. The design's default.
 const HEDGE_DELAY: f64 = 0.5;
 /// Copies stay under this share of the parts lately sent by this node. The design's tenth.
@@ -911,11 +913,6 @@
 
     // ---- The server list ------------------------------------------------------------------------------
 
-    /// How many servers are known.
-    pub fn servers(&self) -> usize {
-        self.servers.len()
-    }
-
     /// Forgets the servers that are gone and have nothing out: on a long day they are replaced without end.
     fn forget_gone(&mut self) {
         let cells = &mut self.cells;
--- /dev/null
+++ b/src/logic/beliefs.rs
@@ -0,0 +1,24 @@
+//! What the decisions believe, told for the log. Nothing here decides.
+
+use super::Aggregator;
+use crate::interface::{Beliefs, Time};
+
+impl Aggregator {
+    /// How many servers are known.
+    pub fn servers(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// What is believed of the servers now.
+    pub fn beliefs(&self, now: Time) -> Beliefs {
+        let mut beliefs = Beliefs::default();
+        for (_, server) in self.ready() {
+            beliefs.ready += 1;
+            beliefs.doubted += usize::from(self.doubted(now, server));
+            beliefs.overdue += usize::from(server.out.first().is_some_and(|&(at, ..)| at <= now));
+            beliefs.cold += usize::from(server.ready_at.is_some_and(|at| now - at < self.settings.warm_up));
+        }
+        beliefs.usual_ms = self.usual.iter().map(|usual| (usual * 1e3) as u32).collect();
+        beliefs
+    }
+}
