Judge a query's slowest by its calls, and let sparse nodes copy what a lost zone kept

Copies: a tenth of the parts sent in 1.25 s is 7 for a search of 72 parts, of which 24 lie in the lost zone. Cause: too_slow counted parts, though parts of one call wait together; hedge counted 'lately' in aims, in which a node with little traffic sends a part of one query. Change: too_slow goes by calls; a query most of whose parts are in may copy within a tenth of the parts of ten times as long. With less than half in (a general slowdown) nothing changes.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,6 +15,10 @@
 const HEDGE_SHARE: f64 = 0.1;
 /// "Lately" for that share, in multiples of the longest aim: several queries' lives, yet soon forgotten.
 const RECENT_AIMS: f64 = 5.0;
+/// "Lately" is so many times longer for a query most of whose parts are in: the rest wait for their servers, not for
+/// a fleet that is slow as a whole. A node with little traffic sends few parts in a few aims, and a lost zone is a
+/// third of one query.
+const CALM_LATELY: f64 = 10.0;
 /// The usual answer time before any answer was seen, as a share of the aim.
 const FIRST_GUESS: f64 = 0.125;
 /// Weight of one answer in its class's usual answer time: the last thirty or so count.
@@ -71,15 +75,14 @@
 struct Window(VecDeque<Time>);
 
 impl Window {
-    fn push(&mut self, now: Time) {
+    /// Notes a moment; those older than `span` seconds, the longest that is asked for, are dropped.
+    fn push(&mut self, now: Time, span: f64) {
+        self.0.drain(..self.0.partition_point(|&at| now - at > span));
         self.0.push_back(now);
     }
-    /// How many lie within the last `span` seconds; older ones are dropped.
-    fn count(&mut self, now: Time, span: f64) -> f64 {
-        while self.0.front().is_some_and(|&at| now - at > span) {
-            self.0.pop_front();
-        }
-        self.0.len() as f64
+    /// How many lie within the last `span` seconds.
+    fn count(&self, now: Time, span: f64) -> f64 {
+        (self.0.len() - self.0.partition_point(|&at| now - at > span)) as f64
     }
 }
 
@@ -363,7 +366,7 @@
     /// Where no budget is stated nobody counts these, and they would pile up.
     fn note_taken(&mut self, now: Time) {
         if self.settings.budget.is_some() {
-            self.taken.push(now);
+            self.taken.push(now, self.settings.budget.map_or(0.0, |budget| budget.window));
         }
     }
 
@@ -417,8 +420,7 @@
                 // A doubted server's slowness is its own, or its path's, and counts less.
                 *usual += (took - *usual) * USUAL_GAIN * if server.pace > DOUBT { PACE_GAIN } else { 1.0 };
                 server.passed = server.passed.max(flight.sent);
-                server.answers.push(now);
-                server.answers.count(now, self.settings.warm_up * TAKE_WARM_UPS);
+                server.answers.push(now, self.settings.warm_up * TAKE_WARM_UPS);
                 (ratio, PACE_GAIN)
             }
             // Silence so far: it says something only if it is worse than what was known.
@@ -484,7 +486,7 @@
             server = self.weighed(&level).unwrap_or(server);
         }
         if rank == 0 && self.doubted(now, &self.servers[&server]) {
-            self.trials.push(now);
+            self.trials.push(now, self.recent);
         }
         Some((rank, server))
     }
@@ -624,12 +626,14 @@
             return self.give_up(now, id, actions);
         }
         let (class, second_step) = (query.class, query.second_step);
+        let cells = self.settings.cells.max(1);
+        let calls = parts.iter().map(|id| self.parts[id].shard % cells).collect::<BTreeSet<u32>>().len();
         let (_, floor) = self.bars(query);
         let aim_left = (query.asked_at + self.settings.classes[class].aim) - now;
         self.suspects.retain(|_, &mut at| now - at < self.recent);
         let suspect = query.repeat && self.suspects.contains_key(&query.kind);
         let late = suspect || aim_left <= 0.0 && self.settings.classes[class].late_share <= 0.0;
-        if late || (!second_step && self.too_slow(class, parts.len(), aim_left)) {
+        if late || (!second_step && self.too_slow(class, calls, aim_left)) {
             return self.give_up(now, id, actions);
         }
         if !second_step {
@@ -680,11 +684,11 @@
                 || sound() < PANIC_SHARE * self.ready().count() as f64)
     }
 
-    /// Load shedding by the fleet as a whole: a query of many parts waits for its slowest. Refused by chance,
-    /// the likelier the more of its aim that would take; so all nodes back off alike, and none stops
-    /// learning.
-    fn too_slow(&mut self, class: usize, parts: usize, left: f64) -> bool {
-        let slowest = self.usual[class] * (1.0 + (parts.max(1) as f64).ln());
+    /// Load shedding by the fleet as a whole: a query of many calls waits for its slowest (parts of one call wait
+    /// together). Refused by chance, the likelier the more of its aim that would take; so all nodes back off
+    /// alike, and none stops learning.
+    fn too_slow(&mut self, class: usize, calls: usize, left: f64) -> bool {
+        let slowest = self.usual[class] * (1.0 + (calls.max(1) as f64).ln());
         let share = slowest / left.max(1e-6);
         self.chance() < ((share - SLOW_RANGE.0) / (SLOW_RANGE.1 - SLOW_RANGE.0)).min(SURE_REFUSAL)
     }
@@ -723,14 +727,14 @@
         part.tried.push(server_id);
         if part.first_sent.is_none() {
             part.first_sent = Some(now);
-            self.parts_sent.push(now);
+            self.parts_sent.push(now, self.recent * CALM_LATELY);
             self.probes = (self.probes + PROBE_SHARE).min(servers);
             if class.effect != Effect::Unsafe && self.settings.second_copies {
                 self.timers.insert((now + delay, Due::Hedge(id)));
             }
         }
         if attempt > 0 && self.settings.budget.is_some() {
-            self.further.push(now);
+            self.further.push(now, self.settings.budget.map_or(0.0, |budget| 2.0 * budget.window));
         }
         self.turns += 1;
         server.turn = self.turns;
@@ -772,13 +776,15 @@
     /// The design's copy: one for a part unanswered after the fixed delay, to a replica that is not overdue.
     /// Exception: with no such replica there is no copy, as in a general slowdown it would only add load.
     fn hedge(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
-        let lately = self.parts_sent.count(now, self.recent);
-        let room = self.copies.count(now, self.recent) + 1.0 <= HEDGE_SHARE * lately;
+        let query = self.parts.get(&id).and_then(|part| self.queries.get(&part.query));
+        let calm = query.is_some_and(|query| 2 * query.answers as usize > query.parts.len());
+        let span = self.recent * if calm { CALM_LATELY } else { 1.0 };
+        let room = self.copies.count(now, span) + 1.0 <= HEDGE_SHARE * self.parts_sent.count(now, span);
         if !room || self.parts.get(&id).is_none_or(|part| part.out.len() != 1) || !self.may_repeat(now, id) {
             return;
         }
         if let Some((0, server)) = self.choose(now, id) {
-            self.copies.push(now);
+            self.copies.push(now, self.recent * CALM_LATELY);
             self.send(now, id, server, actions);
         }
     }
