Find a lost zone by one search, and refuse by fresh figures only

And nodes that once saw a slow search refuse nine in ten of the following ones, ten seconds after the zone is back. Checked: one search meets 6 of the 20 lost servers, so silence of a few of one zone, with answers elsewhere and none from it, is enough. Refusals: unsent equals refused in every second, few doubts; too_slow goes by the usual time, which a node that refuses never sees again (logic.rs, too_slow). The usual time fades within refusals. Tests: tests/fleet.rs and src/zones.rs; seen to fail without the detector and without the fading.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -77,6 +77,7 @@
     let listed = |(server, row): &(ServerId, Row)| Listed {
         server: *server,
         cell: row.cell,
+        zone: row.zone,
         state: row.state,
         size: row.size,
         weight: row.weight,
--- a/node/src/members.rs
+++ b/node/src/members.rs
@@ -12,6 +12,8 @@
     host_port: String,
     #[serde(default)]
     cell: u32,
+    #[serde(default)]
+    locality: String,
     phase: String,
     #[serde(default = "one")]
     size: f64,
@@ -23,6 +25,12 @@
     1.0
 }
 
+/// A locality as a number: the same name gives the same one, none gives 0. Two names that meet in one number would
+/// only be taken for one place.
+pub fn zone(locality: &str) -> u32 {
+    crc32fast::hash(locality.as_bytes())
+}
+
 /// An answer of the agent.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Page {
@@ -56,7 +64,8 @@
             })?;
             let ready_at = (member.up_since_ms > 0).then(|| Time(member.up_since_ms.saturating_mul(1000)));
             let (cell, size) = (member.cell, member.size);
-            Ok(Row { id: member.id, address, cell, state, size, weight: 1.0, generation: 0, ready_at })
+            let zone = zone(&member.locality);
+            Ok(Row { id: member.id, address, cell, zone, state, size, weight: 1.0, generation: 0, ready_at })
         };
         let read = |line: &RawValue| {
             row(line)
--- a/node/src/membership.rs
+++ b/node/src/membership.rs
@@ -315,6 +315,7 @@
                 id: id.clone(),
                 address: server.address,
                 cell: server.cell,
+                zone: crate::members::zone(&server.locality),
                 state,
                 size: 1.0,
                 weight: at.weight,
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -433,6 +433,7 @@
             id: "s".into(),
             address,
             cell: 0,
+            zone: 0,
             state,
             size: 1.0,
             weight: 1.0,
--- a/node/src/stages/mod.rs
+++ b/node/src/stages/mod.rs
@@ -219,6 +219,7 @@
                     id: format!("s-{at}"),
                     address: "127.0.0.1:1".parse().unwrap(),
                     cell: at as u32 % 2,
+                    zone: 0,
                     state,
                     size: 1.0,
                     weight: 1.0,
--- a/node/src/words.rs
+++ b/node/src/words.rs
@@ -137,6 +137,8 @@
     pub id: String,
     pub address: SocketAddr,
     pub cell: u32,
+    /// Its locality, as a number; 0 where none is told.
+    pub zone: u32,
     pub state: ServerState,
     pub size: f64,
     /// Its share of turns, and the generation of the list that it stands in; 1 and 0 where lists have none.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -157,6 +157,8 @@
     pub server: ServerId,
     /// Its cell, which tells the shards that it holds.
     pub cell: u32,
+    /// Where it stands: servers of one zone may be lost together. 0 where that isn't told.
+    pub zone: u32,
     /// Its state.
     pub state: ServerState,
     /// Its size beside the others.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,7 +18,7 @@
 //! };
 //! let mut aggregator = Aggregator::new(settings, 7);
 //! let server = |id, cell| Listed {
-//!     server: ServerId(id), cell, state: ServerState::Ready, size: 1.0, weight: 1.0, generation: 0, ready_at: None,
+//!     server: ServerId(id), cell, zone: 0, state: ServerState::Ready, size: 1.0, weight: 1.0, generation: 0, ready_at: None,
 //! };
 //! let now = Time::from_secs(100.0);
 //! let events = [
@@ -42,6 +42,9 @@
 
 mod interface;
 mod logic;
+mod pacing;
+mod window;
+mod zones;
 
 pub use interface::*;
 pub use logic::Aggregator;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,8 +4,11 @@
 //! hedging, ending a query, the server list.
 
 use crate::interface::*;
+use crate::pacing::{Asking, Probing};
+use crate::window::Window;
+use crate::zones::{Sighting, Zones};
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 mod beliefs;
 
@@ -15,9 +18,8 @@
 const HEDGE_SHARE: f64 = 0.1;
 /// "Lately" for that share, in multiples of the longest aim: several queries' lives, yet soon forgotten.
 const RECENT_AIMS: f64 = 5.0;
-/// "Lately" is so many times longer for a query most of whose parts are in: the rest wait for their servers, not for
-/// a fleet that is slow as a whole. A node with little traffic sends few parts in a few aims, and a lost zone is a
-/// third of one query.
+/// "Lately" is so many times longer where most of a query is in: the fleet isn't slow as a whole. A node with
+/// little traffic sends few parts in a few aims, and a lost zone is a third of one query.
 const CALM_LATELY: f64 = 10.0;
 /// The usual answer time before any answer was seen, as a share of the aim.
 const FIRST_GUESS: f64 = 0.125;
@@ -36,10 +38,6 @@
 /// Trial parts stay under this share of the parts lately sent by this node: a rescue for each is within the
 /// tenth of copies, and many nodes with little traffic each don't wear a bad server down or out.
 const TRIAL_SHARE: f64 = 0.04;
-/// Probes earned by each part sent, saved up to one a server: one bad server found, all can be looked at.
-const PROBE_SHARE: f64 = 0.3;
-/// Mean gap between two probes of a node, as a share of the shortest aim: no wave, yet a fleet in two aims.
-const PROBE_GAP: f64 = 0.02;
 /// A reset within this share of the usual answer time may be of an idle connection gone stale. The part goes
 /// back there: on a fresh connection, or to a server that its own query felled.
 const AT_ONCE: f64 = 0.1;
@@ -55,6 +53,8 @@
 const SHED_RANGE: (f64, f64) = (0.5, 0.9);
 /// Shares of its aim between which a query's slowest part, going by usual times, has it refused by chance.
 const SLOW_RANGE: (f64, f64) = (1.0, 2.4);
+/// It fades from that over so many times "lately": a node asked little would refuse by a jam long over.
+const SLOW_MEMORY: f64 = 5.0;
 /// The surest of such refusals: the rest of the queries tell when it is over.
 const SURE_REFUSAL: f64 = 0.9;
 /// Under this share of sound servers doubt proves little, and parts are sent all the same.
@@ -65,27 +65,11 @@
 const END_TICKS: f64 = 3.0;
 /// A copy's timer that is judged so many ticks late tells of a stall of this node, not of a slow server.
 const STALL_TICKS: f64 = 10.0;
-/// First back-off before asking for the list again, as a share of the time in which it must be asked.
-const ASK_AGAIN: f64 = 0.02;
+/// A zone that was dark for this share of the warm-up time may have started anew, and warms up as if it had.
+const DARK_START: f64 = 0.1;
 /// Slack for sums of weights, which are rounded on their way here.
 const WEIGHT_SLACK: f64 = 1e-5;
 
-/// Moments within a sliding window.
-#[derive(Default)]
-struct Window(VecDeque<Time>);
-
-impl Window {
-    /// Notes a moment; those older than `span` seconds, the longest that is asked for, are dropped.
-    fn push(&mut self, now: Time, span: f64) {
-        self.0.drain(..self.0.partition_point(|&at| now - at > span));
-        self.0.push_back(now);
-    }
-    /// How many lie within the last `span` seconds.
-    fn count(&self, now: Time, span: f64) -> f64 {
-        (self.0.len() - self.0.partition_point(|&at| now - at > span)) as f64
-    }
-}
-
 #[derive(Default)]
 struct Server {
     cell: u32,
@@ -109,6 +93,9 @@
     last_sent: Time,
     /// Answer time in seconds, smoothed, and when it was last noted. Silence counts at its length so far.
     wait: (f64, Time),
+    /// Where it stands, 0 if that isn't told; and the first send since it was heard of that it kept.
+    zone: u32,
+    kept: Option<Time>,
     /// The latest send that it answered. Older parts still out were overtaken: they are long, not waiting.
     passed: Time,
     /// Parts earned while cold, and until when these are counted.
@@ -199,8 +186,9 @@
     /// The shortest aim, and how far back "lately" goes, in seconds.
     shortest: f64,
     recent: f64,
-    /// Each class's usual answer time.
+    /// Each class's usual answer time, and when it was last seen.
     usual: Vec<f64>,
+    noted: Vec<Time>,
     density: f64,
     taken: Window,
     parts_sent: Window,
@@ -209,12 +197,9 @@
     further: Window,
     best_take: f64,
     take_noted: Option<Time>,
-    /// Probes that may be sent, whether one is due, and the count of requests that a server typically holds.
-    probes: f64,
-    probing: bool,
-    typical: f64,
-    ask_failures: u32,
-    subscribed: bool,
+    probing: Probing,
+    zones: Zones,
+    asking: Asking,
 }
 
 // ---- The turn of events -------------------------------------------------------------------------------
@@ -224,10 +209,10 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let aims = || settings.classes.iter().map(|class| class.aim);
         Aggregator {
+            noted: aims().map(|_| Time::default()).collect(),
             usual: aims().map(|aim| aim * FIRST_GUESS).collect(),
             shortest: aims().fold(f64::MAX, f64::min),
             recent: RECENT_AIMS * aims().fold(0.0, f64::max),
-            typical: 1.0,
             random: seed,
             settings,
             ..Aggregator::default()
@@ -380,6 +365,9 @@
         if !stale {
             self.judge(now, &flight, outcome);
         }
+        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Reset) {
+            self.note_heard(now, flight.server);
+        }
         let part = self.parts.get_mut(&id)?;
         let query = self.queries.get_mut(&part.query)?;
         part.out.retain(|&number| number != attempt);
@@ -419,6 +407,7 @@
             Outcome::Ok => {
                 // A doubted server's slowness is its own, or its path's, and counts less.
                 *usual += (took - *usual) * USUAL_GAIN * if server.pace > DOUBT { PACE_GAIN } else { 1.0 };
+                self.noted[flight.class] = now;
                 server.passed = server.passed.max(flight.sent);
                 server.answers.push(now, self.settings.warm_up * TAKE_WARM_UPS);
                 (ratio, PACE_GAIN)
@@ -428,12 +417,17 @@
             Outcome::Moot => return,
             _ => (WORST_PACE, PACE_GAIN),
         };
+        if outcome == Outcome::ConnectFailed
+            || now >= flight.overdue && matches!(outcome, Outcome::Cancelled | Outcome::Timeout)
+        {
+            server.kept.get_or_insert(flight.sent);
+        }
         let memory = (-(now - server.judged).max(0.0) / self.recent).exp();
         server.pace += (sample - server.pace) * (1.0 - (1.0 - gain) * memory);
         server.judged = now;
         server.hint = if outcome == Outcome::Ok && ratio < DOUBT { 1.0 } else { server.hint };
-        if server.pace > DOUBT && !self.probing && self.settings.probes.is_some() {
-            self.probing = true;
+        if server.pace > DOUBT && !self.probing.armed && self.settings.probes.is_some() {
+            self.probing.armed = true;
             self.timers.insert((now, Due::Probe));
         }
         let took = match outcome {
@@ -445,6 +439,37 @@
         server.wait = (server.wait.0 + (took - server.wait.0) * PACE_GAIN, now);
     }
 
+    /// Zones are lost whole: a node with little traffic must not find each of its servers by losing parts to it.
+    /// Those of a dark zone are doubted until one of them is heard.
+    fn note_dark(&mut self, now: Time) {
+        let sightings = self.ready().map(|(_, server)| {
+            let oldest = server.out.first().and_then(|&(_, id, attempt)| self.flights.get(&(id, attempt)));
+            let delay = |flight: &Flight| self.settings.classes[flight.class].aim * HEDGE_DELAY;
+            let waiting =
+                oldest.filter(|flight| now - flight.sent >= delay(flight)).map(|flight| flight.sent);
+            Sighting { zone: server.zone, answered: server.passed, kept: server.kept.or(waiting) }
+        });
+        let dark = self.zones.lost(now, &sightings.collect::<Vec<_>>());
+        for server in self.servers.values_mut().filter(|server| dark.contains(&server.zone)) {
+            (server.pace, server.judged) = (WORST_PACE, now);
+        }
+    }
+
+    /// A server said something. Its whole zone is back, perhaps from a start that the list will tell of later.
+    fn note_heard(&mut self, now: Time, id: ServerId) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.kept = None;
+        let zone = server.zone;
+        let Some(dark_for) = self.zones.found(now, zone) else { return };
+        let restarted = dark_for > self.settings.warm_up * DARK_START;
+        for server in self.servers.values_mut().filter(|s| s.zone == zone) {
+            (server.pace, server.kept) = (1.0, None);
+            if restarted {
+                (server.ready_at, server.earned) = (Some(now), (server.earned.0.min(0.0), now));
+            }
+        }
+    }
+
     // ---- Choosing a replica ---------------------------------------------------------------------------
 
     /// Servers that may be sent a part of this shard now: those of the cells from its own on, as far as the
@@ -526,15 +551,8 @@
     /// failed, is likely slow, hung or far for this node.
     fn note_probe(&mut self, id: ServerId, outcome: Outcome, report: &[f64]) {
         let Some(server) = self.servers.get_mut(&id) else { return };
-        let held = self.settings.probes.and_then(|at| report.get(at)).filter(|held| held.is_finite());
-        server.hint = match (outcome, held) {
-            (Outcome::Ok, Some(held)) => {
-                self.typical *= (USUAL_GAIN * (held - self.typical).signum()).exp();
-                (held.max(0.0) + 1.0) / (self.typical + 1.0)
-            }
-            (Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset, _) => WORST_PACE,
-            _ => server.hint,
-        };
+        let held = self.settings.probes.and_then(|at| report.get(at)).copied();
+        server.hint = self.probing.hint(outcome, held, WORST_PACE).unwrap_or(server.hint);
     }
 
     /// The servers that the list calls ready.
@@ -546,20 +564,20 @@
     /// longest; of a doubted one, only probes count as news.
     fn probe(&mut self, now: Time, actions: &mut Vec<Action>) {
         let doubts = self.ready().any(|(_, s)| self.doubted(now, s));
-        self.probing = doubts;
+        self.probing.armed = doubts;
         if !doubts {
             return;
         }
         let heard = |s: &Server| if self.doubted(now, s) { s.probed } else { s.judged.max(s.probed) };
         let oldest = self.ready().map(|(id, s)| (heard(s), id)).min();
-        if let Some((_, id)) = oldest.filter(|&(at, _)| now - at > self.shortest && self.probes >= 1.0) {
-            self.probes -= 1.0;
+        let due = oldest.filter(|&(at, _)| now - at > self.shortest);
+        if let Some((_, id)) = due.filter(|_| self.probing.take()) {
             actions.push(Action::Probe(id));
             if let Some(server) = self.servers.get_mut(&id) {
                 server.probed = now;
             }
         }
-        let gap = self.shortest * PROBE_GAP * 2.0 * self.chance();
+        let gap = Probing::gap(self.shortest, self.chance());
         self.timers.insert((now + gap.max(self.settings.tick), Due::Probe));
     }
 
@@ -573,10 +591,8 @@
             }
             return (2, server.out.len(), server.turn);
         }
-        match server.out.first() {
-            Some(&(overdue, ..)) if overdue <= now => (1, server.out.len(), server.turn),
-            _ => (0, 0, server.turn),
-        }
+        let overdue = server.out.first().is_some_and(|&(overdue, ..)| overdue <= now);
+        (u8::from(overdue), if overdue { server.out.len() } else { 0 }, server.turn)
     }
 
     /// The cold guard. A server that has just started earns parts at the stated multiple of its guaranteed
@@ -619,6 +635,7 @@
     /// All parts of a step are sent at once; a query that can't be served, or not in time, is turned away
     /// before any of its parts is sent.
     fn open_step(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        self.note_dark(now);
         let Some(query) = self.queries.get(&id) else { return };
         let unsent = |id: &RequestId| self.parts[id].first_sent.is_none();
         let parts: Vec<RequestId> = query.parts.iter().copied().filter(unsent).collect();
@@ -633,7 +650,7 @@
         self.suspects.retain(|_, &mut at| now - at < self.recent);
         let suspect = query.repeat && self.suspects.contains_key(&query.kind);
         let late = suspect || aim_left <= 0.0 && self.settings.classes[class].late_share <= 0.0;
-        if late || (!second_step && self.too_slow(class, calls, aim_left)) {
+        if late || (!second_step && self.too_slow(now, class, calls, aim_left)) {
             return self.give_up(now, id, actions);
         }
         if !second_step {
@@ -684,11 +701,12 @@
                 || sound() < PANIC_SHARE * self.ready().count() as f64)
     }
 
-    /// Load shedding by the fleet as a whole: a query of many calls waits for its slowest (parts of one call wait
+    /// Load shedding by the fleet as a whole: a query of many calls waits for its slowest (parts of one wait
     /// together). Refused by chance, the likelier the more of its aim that would take; so all nodes back off
     /// alike, and none stops learning.
-    fn too_slow(&mut self, class: usize, calls: usize, left: f64) -> bool {
-        let slowest = self.usual[class] * (1.0 + (calls.max(1) as f64).ln());
+    fn too_slow(&mut self, now: Time, class: usize, calls: usize, left: f64) -> bool {
+        let age = (self.noted[class] - now) / (self.recent * SLOW_MEMORY);
+        let slowest = self.usual[class] * (1.0 + (calls.max(1) as f64).ln()) * age.min(0.0).exp();
         let share = slowest / left.max(1e-6);
         self.chance() < ((share - SLOW_RANGE.0) / (SLOW_RANGE.1 - SLOW_RANGE.0)).min(SURE_REFUSAL)
     }
@@ -728,7 +746,7 @@
         if part.first_sent.is_none() {
             part.first_sent = Some(now);
             self.parts_sent.push(now, self.recent * CALM_LATELY);
-            self.probes = (self.probes + PROBE_SHARE).min(servers);
+            self.probing.earn(servers);
             if class.effect != Effect::Unsafe && self.settings.second_copies {
                 self.timers.insert((now + delay, Due::Hedge(id)));
             }
@@ -924,8 +942,8 @@
         let cells = &mut self.cells;
         self.servers.retain(|id, server| {
             let known = server.state != ServerState::Gone || !server.out.is_empty();
-            if let Some(cell) = cells.get_mut(&server.cell).filter(|_| !known) {
-                cell.remove(id);
+            if !known {
+                cells.entry(server.cell).or_default().remove(id);
             }
             known
         });
@@ -935,18 +953,15 @@
     fn note_list(&mut self, now: Time, news: &ListNews) {
         let rows = match news {
             ListNews::Failed => {
-                let first = self.settings.must_ask.unwrap_or(0.0) * ASK_AGAIN;
-                let wait = first * f64::from(1u32 << self.ask_failures.min(3)) * (0.5 + self.chance());
-                self.ask_failures += 1;
-                self.subscribed = false;
+                let chance = self.chance();
+                let wait = self.asking.failed(self.settings.must_ask.unwrap_or(0.0), chance);
                 self.timers.insert((now + wait, Due::Ask));
                 return;
             }
             ListNews::Full(rows) | ListNews::Cached(rows) | ListNews::Delta(rows) => rows,
         };
         if !matches!(news, ListNews::Cached(_)) {
-            self.ask_failures = 0;
-            self.subscribed = true;
+            self.asking.told();
         }
         if matches!(news, ListNews::Full(_)) && !rows.is_empty() {
             let listed: BTreeSet<ServerId> = rows.iter().map(|row| row.server).collect();
@@ -969,14 +984,12 @@
                 earned,
                 ..Server::default()
             });
-            if let Some(cell) = self.cells.get_mut(&server.cell) {
-                cell.remove(&row.server);
-            }
+            self.cells.entry(server.cell).or_default().remove(&row.server);
             self.cells.entry(row.cell).or_default().insert(row.server);
             if row.ready_at.is_some_and(|at| server.ready_at.is_none_or(|old| at > old)) {
                 (server.pace, server.hint, server.earned) = (1.0, 1.0, earned);
             }
-            server.state = row.state;
+            (server.state, server.zone) = (row.state, row.zone);
             server.ready_at = row.ready_at;
             if server.cell != row.cell || server.generation == 0 {
                 server.generation = row.generation;
@@ -990,7 +1003,7 @@
 
     /// Asks to be told of changes, and again if nothing at all comes back.
     fn ask(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let Some(must_ask) = self.settings.must_ask.filter(|_| !self.subscribed) else { return };
+        let Some(must_ask) = self.settings.must_ask.filter(|_| !self.asking.subscribed) else { return };
         actions.push(Action::Subscribe);
         self.timers.insert((now + must_ask / 2.0, Due::Ask));
     }
--- /dev/null
+++ b/src/pacing.rs
@@ -0,0 +1,101 @@
+//! How often servers are probed and the list is asked for: rations and gaps, without a clock.
+
+use crate::interface::Outcome;
+
+/// Probes earned by each part sent, saved up to one a server: one bad server found, all can be looked at.
+const PROBE_SHARE: f64 = 0.3;
+/// Mean gap between two probes of a node, as a share of the shortest aim: no wave, yet a fleet in two aims.
+const PROBE_GAP: f64 = 0.02;
+/// Weight of one probe in the count of requests that a server typically holds.
+const TYPICAL_GAIN: f64 = 0.03;
+/// First back-off before asking for the list again, as a share of the time in which it must be asked.
+const ASK_AGAIN: f64 = 0.02;
+/// Doublings of that back-off.
+const MOST_DOUBLINGS: u32 = 3;
+
+/// The ration of probes, and what is typical among their answers.
+pub(crate) struct Probing {
+    earned: f64,
+    typical: f64,
+    /// Whether one is due.
+    pub(crate) armed: bool,
+}
+
+impl Default for Probing {
+    fn default() -> Self {
+        Probing { earned: 0.0, typical: 1.0, armed: false }
+    }
+}
+
+impl Probing {
+    /// A part was sent; `most` probes can be saved up.
+    pub(crate) fn earn(&mut self, most: f64) {
+        self.earned = (self.earned + PROBE_SHARE).min(most);
+    }
+
+    /// Takes one probe off the ration, if it has one.
+    pub(crate) fn take(&mut self) -> bool {
+        let enough = self.earned >= 1.0;
+        self.earned -= if enough { 1.0 } else { 0.0 };
+        enough
+    }
+
+    /// Seconds to the next probe, by chance.
+    pub(crate) fn gap(shortest_aim: f64, chance: f64) -> f64 {
+        shortest_aim * PROBE_GAP * 2.0 * chance
+    }
+
+    /// What a probe makes of a server, as a multiple of what is typical; `worst` where it failed.
+    pub(crate) fn hint(&mut self, outcome: Outcome, held: Option<f64>, worst: f64) -> Option<f64> {
+        match (outcome, held.filter(|held| held.is_finite())) {
+            (Outcome::Ok, Some(held)) => {
+                self.typical *= (TYPICAL_GAIN * (held - self.typical).signum()).exp();
+                Some((held.max(0.0) + 1.0) / (self.typical + 1.0))
+            }
+            (Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset, _) => Some(worst),
+            _ => None,
+        }
+    }
+}
+
+/// Whether changes of the list are coming, and how long to wait where they are not.
+#[derive(Default)]
+pub(crate) struct Asking {
+    failures: u32,
+    pub(crate) subscribed: bool,
+}
+
+impl Asking {
+    pub(crate) fn told(&mut self) {
+        *self = Asking { failures: 0, subscribed: true };
+    }
+
+    /// Seconds to wait after a failure: doubling, by chance, so that many nodes don't ask together.
+    pub(crate) fn failed(&mut self, must_ask: f64, chance: f64) -> f64 {
+        let doublings = self.failures.min(MOST_DOUBLINGS);
+        *self = Asking { failures: self.failures.saturating_add(1), subscribed: false };
+        must_ask * ASK_AGAIN * f64::from(1u32 << doublings) * (0.5 + chance)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn probes_are_rationed_by_parts_sent() {
+        let mut probing = Probing::default();
+        assert!(!probing.take());
+        (0..100).for_each(|_| probing.earn(2.0));
+        assert_eq!([probing.take(), probing.take(), probing.take()], [true, true, false]);
+    }
+
+    #[test]
+    fn a_failing_list_is_asked_for_ever_more_seldom_up_to_a_bound() {
+        let mut asking = Asking::default();
+        let waits: Vec<f64> = (0..6).map(|_| asking.failed(10.0, 0.5)).collect();
+        assert_eq!(waits, [0.2, 0.4, 0.8, 1.6, 1.6, 1.6]);
+        asking.told();
+        assert_eq!(asking.failed(10.0, 0.5), 0.2);
+    }
+}
--- /dev/null
+++ b/src/zones.rs
@@ -0,0 +1,129 @@
+//! Which zones are lost: a failure detector over what one node's own sends met. It decides nothing about servers.
+//!
+//! A node with little traffic meets each server every few seconds, and silence proves nothing at once. But zones are
+//! lost whole: a few servers of one zone that keep what was sent to them, while none of that zone answers anything
+//! newer and others elsewhere do, tell of all of it.
+
+use crate::interface::Time;
+use std::collections::BTreeMap;
+
+/// A zone is lost once so many of its servers are silent. One alone may be ill.
+const SILENT: usize = 2;
+/// And this share of them: among many servers two ill ones meet by chance.
+const SILENT_SHARE: f64 = 0.14;
+
+/// What is known of one server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sighting {
+    /// Its zone; 0 where none is told, of which nothing follows.
+    pub(crate) zone: u32,
+    /// The latest send that it answered.
+    pub(crate) answered: Time,
+    /// The first send since it was last heard of that has had no answer in time, if there is one.
+    pub(crate) kept: Option<Time>,
+}
+
+/// What is added up for one zone.
+#[derive(Default)]
+struct Zone {
+    size: usize,
+    answered: Time,
+    kept: Vec<Time>,
+}
+
+/// The lost zones, and when each was found lost.
+#[derive(Default)]
+pub(crate) struct Zones(BTreeMap<u32, Time>);
+
+impl Zones {
+    /// The zones that these sightings show to be lost, and that were not known to be.
+    pub(crate) fn lost(&mut self, now: Time, sightings: &[Sighting]) -> Vec<u32> {
+        let mut zones: BTreeMap<u32, Zone> = BTreeMap::new();
+        for sighting in sightings.iter().filter(|sighting| sighting.zone != 0) {
+            let zone = zones.entry(sighting.zone).or_default();
+            zone.size += 1;
+            zone.answered = zone.answered.max(sighting.answered);
+            zone.kept.extend(sighting.kept);
+        }
+        // What went out when nobody anywhere answered says nothing of this zone: the fault may be ours.
+        let anywhere = zones.values().map(|zone| zone.answered).max().unwrap_or_default();
+        // A zone that left the list is no zone; its servers are gone.
+        self.0.retain(|zone, _| zones.contains_key(zone));
+        let silent = |zone: &Zone| {
+            let count = zone.kept.iter().filter(|&&at| zone.answered < at && at <= anywhere).count();
+            count >= SILENT && count as f64 >= SILENT_SHARE * zone.size as f64
+        };
+        let found: Vec<u32> = zones.iter().filter(|(_, zone)| silent(zone)).map(|(&zone, _)| zone).collect();
+        let fresh: Vec<u32> = found.into_iter().filter(|zone| !self.0.contains_key(zone)).collect();
+        self.0.extend(fresh.iter().map(|&zone| (zone, now)));
+        fresh
+    }
+
+    /// A server of this zone was heard: for how many seconds the zone was lost, if it was.
+    pub(crate) fn found(&mut self, now: Time, zone: u32) -> Option<f64> {
+        self.0.remove(&zone).map(|since| now - since)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(secs: f64) -> Time {
+        Time::from_secs(secs)
+    }
+
+    /// Three zones of seven; those of `silent` kept what was sent at 10 s, the others answered what was sent then.
+    fn sightings(silent: &[(u32, usize)]) -> Vec<Sighting> {
+        let server = |zone: u32, place: usize| match silent.contains(&(zone, place)) {
+            true => Sighting { zone, answered: at(8.0), kept: Some(at(10.0)) },
+            // The second of each zone was not asked.
+            false if place == 1 => Sighting { zone, answered: at(8.0), kept: None },
+            false => Sighting { zone, answered: at(10.0), kept: None },
+        };
+        (1..4).flat_map(|zone| (0..7).map(move |place| server(zone, place))).collect()
+    }
+
+    fn all(zone: u32) -> Vec<(u32, usize)> {
+        (0..7).filter(|&place| place != 1).map(|place| (zone, place)).collect()
+    }
+
+    #[test]
+    fn a_zone_all_of_whose_asked_servers_are_silent_is_lost_once() {
+        let mut zones = Zones::default();
+        assert_eq!(zones.lost(at(10.2), &sightings(&all(2))), vec![2]);
+        assert!(zones.lost(at(10.3), &sightings(&all(2))).is_empty(), "known");
+        assert_eq!(zones.found(at(13.2), 2), Some(3.0));
+        assert_eq!(zones.found(at(13.2), 2), None);
+    }
+
+    #[test]
+    fn ill_servers_of_a_zone_that_answers_are_no_lost_zone() {
+        let mut some = all(2);
+        some.pop();
+        assert!(Zones::default().lost(at(10.2), &sightings(&some)).is_empty());
+    }
+
+    #[test]
+    fn one_silent_server_is_no_zone() {
+        let mut list = sightings(&[(2, 0)]);
+        list.iter_mut().filter(|s| s.zone == 2).for_each(|s| s.answered = at(8.0));
+        assert!(Zones::default().lost(at(10.2), &list).is_empty());
+    }
+
+    #[test]
+    fn silence_everywhere_is_our_own() {
+        let everywhere: Vec<_> = (1..4).flat_map(all).collect();
+        assert!(Zones::default().lost(at(10.2), &sightings(&everywhere)).is_empty());
+    }
+
+    #[test]
+    fn servers_without_a_zone_tell_nothing_and_a_zone_without_servers_is_forgotten() {
+        let mut zones = Zones::default();
+        assert_eq!(zones.lost(at(10.2), &sightings(&all(2))), vec![2]);
+        let mut unplaced = sightings(&all(2));
+        unplaced.iter_mut().for_each(|s| s.zone = 0);
+        assert!(zones.lost(at(10.2), &unplaced).is_empty());
+        assert_eq!(zones.found(at(11.0), 2), None);
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -44,7 +44,16 @@
 }
 
 pub fn listed(id: u32, state: ServerState, ready_at: Option<Time>) -> Listed {
-    Listed { server: ServerId(id), cell: id % 3, state, size: 1.0, weight: 1.0, generation: 0, ready_at }
+    Listed {
+        server: ServerId(id),
+        cell: id % 3,
+        zone: 0,
+        state,
+        size: 1.0,
+        weight: 1.0,
+        generation: 0,
+        ready_at,
+    }
 }
 
 pub fn done(part: u64, attempt: u8, outcome: Outcome) -> Event {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -23,10 +23,15 @@
     }
 }
 
+/// The zone of a server: the two of a cell stand in different ones of three.
+fn zone(id: u32) -> u32 {
+    (id % CELLS + id / CELLS) % 3 + 1
+}
+
 /// A rig whose list has two servers a cell: `cell` and `cell + CELLS`.
 fn rig(settings: Settings) -> Rig {
     let mut rig = Rig::new(settings);
-    let row = |id: u32| Listed { cell: id % CELLS, ..listed(id, ServerState::Ready, None) };
+    let row = |id: u32| Listed { cell: id % CELLS, zone: zone(id), ..listed(id, ServerState::Ready, None) };
     rig.play(&[Event::List(ListNews::Full((0..2 * CELLS).map(row).collect()))]);
     rig
 }
@@ -56,6 +61,19 @@
     }
 }
 
+/// Guards against a node with little traffic that goes on refusing by the last jam it saw, and so never sees that it
+/// is over.
+#[test]
+fn a_sparse_node_forgets_a_jam() {
+    let mut rig = rig(sparse(Effect::Safe));
+    let refused = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Refuse { .. }));
+    while !refused(&search(&mut rig, 0.2)) {}
+    let again = (0..20).filter(|_| refused(&search(&mut rig, 0.2))).count();
+    assert!(again > 10, "while it lasts, most are refused: {again}");
+    rig.now = rig.now + 25.0;
+    assert!(!refused(&search(&mut rig, 0.04)), "refused by what was seen 25 s ago");
+}
+
 /// Plays four quiet searches some seconds apart, then one of which only the first `answered` parts are in by the
 /// hedge delay; returns how many copies that brings.
 fn copies_after(answered: usize) -> usize {
@@ -83,3 +101,85 @@
 fn nothing_is_saved_up_for_a_fleet_that_is_slow_as_a_whole() {
     assert_eq!(copies_after(12), 3);
 }
+
+/// Plays one search of which all is answered after 40 ms but what goes to a lost zone; copies are answered too. How
+/// many of its first sends went to that zone.
+fn search_without(rig: &mut Rig, lost: u32) -> usize {
+    let (events, _, _) = rig.query(0, &shards());
+    let sent = sends(&rig.play(&events));
+    let answers = |sent: &[(u64, u32)], attempt| -> Vec<Event> {
+        let there = sent.iter().filter(|(_, server)| zone(*server) != lost);
+        there.map(|&(part, _)| done(part, attempt, Outcome::Ok)).collect()
+    };
+    rig.after(0.04, &answers(&sent, 0));
+    let copies = sends(&rig.after(0.085, &[Event::Wake]));
+    rig.after(0.04, &answers(&copies, 1));
+    sent.iter().filter(|(_, server)| zone(*server) == lost).count()
+}
+
+/// A node that lost a zone's parts in one search, and the sends to that zone in the two searches after it.
+fn after_a_lost_zone() -> (Rig, [usize; 2]) {
+    let mut rig = rig(sparse(Effect::Safe));
+    for _ in 0..4 {
+        search(&mut rig, 0.04);
+        rig.now = rig.now + 2.4;
+    }
+    assert!(search_without(&mut rig, 2) >= 4, "the zone has its turns");
+    let later = [0, 1].map(|_| {
+        rig.now = rig.now + 2.4;
+        search_without(&mut rig, 2)
+    });
+    (rig, later)
+}
+
+/// Guards against a node with little traffic that finds each server of a lost zone by losing a search's parts to it.
+#[test]
+fn a_lost_zone_is_found_by_one_search() {
+    let (_, later) = after_a_lost_zone();
+    assert!(later.iter().all(|&sent| sent <= 2), "trials only: {later:?}");
+}
+
+/// Guards against all nodes together sending a zone its whole share again at the moment that it returns, cold: the
+/// list tells seconds later that it started.
+#[test]
+fn a_zone_that_returns_from_the_dark_warms_up() {
+    let (mut rig, _) = after_a_lost_zone();
+    rig.now = rig.now + 2.4;
+    let (events, _, _) = rig.query(0, &shards());
+    let trials = sends(&rig.play(&events));
+    let answers: Vec<Event> = trials.iter().map(|&(part, _)| done(part, 0, Outcome::Ok)).collect();
+    rig.after(0.04, &answers);
+    rig.now = rig.now + 0.1;
+    let (events, _, _) = rig.query(0, &shards());
+    let sent = sends(&rig.play(&events)).into_iter().filter(|(_, server)| zone(*server) == 2).count();
+    assert!(sent <= 2, "{sent} parts at once");
+    for _ in 0..20 {
+        search(&mut rig, 0.04);
+        rig.now = rig.now + 1.0;
+    }
+    let (events, _, _) = rig.query(0, &shards());
+    let sent = sends(&rig.play(&events)).into_iter().filter(|(_, server)| zone(*server) == 2).count();
+    assert!(sent >= 8, "warm again, and only {sent} parts");
+}
+
+/// Guards against a cut of this node's own network being taken for lost zones, whose servers would then have to warm
+/// up: with every zone silent none is dark.
+#[test]
+fn a_node_that_hears_nobody_has_no_dark_zone() {
+    let mut rig = rig(sparse(Effect::Safe));
+    search(&mut rig, 0.04);
+    for _ in 0..3 {
+        rig.now = rig.now + 1.0;
+        let (events, _, _) = rig.query(0, &shards());
+        let sent = sends(&rig.play(&events));
+        let lost: Vec<Event> = sent.iter().map(|&(part, _)| done(part, 0, Outcome::Timeout)).collect();
+        rig.after(0.69, &lost);
+    }
+    rig.now = rig.now + 1.0;
+    let (events, _, _) = rig.query(0, &shards());
+    let sent = sends(&rig.play(&events));
+    rig.after(0.04, &sent.iter().map(|&(part, _)| done(part, 0, Outcome::Ok)).collect::<Vec<_>>());
+    rig.now = rig.now + 1.0;
+    let (events, _, _) = rig.query(0, &shards());
+    assert_eq!(sends(&rig.play(&events)).len(), 36, "none is taken for cold");
+}
--- a/wirehost/src/frame.rs
+++ b/wirehost/src/frame.rs
@@ -175,7 +175,7 @@
 
 fn parse_row(f: &mut Fields) -> Result<Listed, String> {
     let server = ServerId(f.u32()?);
-    let _zone = f.u8()?;
+    let zone = u32::from(f.u8()?) + 1;
     let _kind = f.u16()?;
     let cell = u32::from(f.u16()?);
     let state = match f.u8()? {
@@ -187,7 +187,7 @@
     let size = f.f32()?;
     let ready_at = f.f64()?;
     let ready_at = (ready_at != 0.0).then(|| Time::from_secs(ready_at));
-    Ok(Listed { server, cell, state, size, weight: 1.0, generation: 0, ready_at })
+    Ok(Listed { server, cell, zone, state, size, weight: 1.0, generation: 0, ready_at })
 }
 
 fn outcome(code: u8) -> Result<Outcome, String> {
