--- a/src/logic.rs
+++ b/src/logic.rs
@@ -439,7 +439,7 @@
         server.wait = (server.wait.0 + (took - server.wait.0) * PACE_GAIN, now);
     }
 
-    /// Zones are lost whole: a node with little traffic must not find each of its servers by losing parts to it.
+    /// Zones are lost whole: a node with little traffic must not lose parts to each server of one to find it.
     /// Those of a dark zone are doubted until one of them is heard.
     fn note_dark(&mut self, now: Time) {
         let sightings = self.ready().map(|(_, server)| {
@@ -455,7 +455,7 @@
         }
     }
 
-    /// A server said something. Its whole zone is back, perhaps from a start that the list will tell of later.
+    /// A server said something. Its whole zone is back, perhaps from a start of which the list is yet to tell.
     fn note_heard(&mut self, now: Time, id: ServerId) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.kept = None;
