--- a/node/src/stages/mod.rs
+++ b/node/src/stages/mod.rs
@@ -163,6 +163,9 @@
     /// Counts a send by what it is: a further attempt, a copy, one to a server that may be cold.
     fn count_send(&mut self, now: Time, action: &Action) {
         let Action::Send { part, server, .. } = *action else { return };
+        if !self.tally.is_on() {
+            return;
+        }
         let earlier = self.book.attempts(part);
         if earlier > 0 {
             self.tally.add(Count::Further);
--- a/node/src/tally.rs
+++ b/node/src/tally.rs
@@ -74,6 +74,11 @@
         Tally { counts: [0; NAMES.len()], every, told: now }
     }
 
+    /// Whether anybody will read the counts: what takes a look-up to count is not counted otherwise.
+    pub fn is_on(&self) -> bool {
+        self.every > 0.0
+    }
+
     pub fn add(&mut self, count: Count) {
         let count = &mut self.counts[count as usize];
         *count = count.saturating_add(1);
@@ -105,7 +110,7 @@
 
     /// The line that is due, if one is and anything was counted: what is not 0, then what is believed and open.
     pub fn line(&mut self, now: Time, links: usize, beliefs: impl FnOnce() -> Beliefs) -> Option<String> {
-        if self.every <= 0.0 || now - self.told < self.every {
+        if !self.is_on() || now - self.told < self.every {
             return None;
         }
         self.told = now;
@@ -115,9 +120,9 @@
         }
         let pairs = NAMES.iter().zip(counts).filter(|(_, count)| *count > 0);
         let mut line: Vec<String> = pairs.map(|(name, count)| format!("{name}={count}")).collect();
-        let Beliefs { ready, doubted, overdue, cold, usual_ms } = beliefs();
+        let Beliefs { ready, doubted, overdue, young, usual_ms } = beliefs();
         line.push(format!(
-            "links={links} ready={ready} doubted={doubted} overdue={overdue} young={cold} usual_ms={usual_ms:?}"
+            "links={links} ready={ready} doubted={doubted} overdue={overdue} young={young} usual_ms={usual_ms:?}"
         ));
         Some(line.join(" "))
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -265,12 +265,12 @@
 pub struct Beliefs {
     /// Servers that the list calls ready.
     pub ready: usize,
-    /// Of these: doubted, with an overdue part, and younger than the warm-up time.
+    /// Of these, the doubted ones.
     pub doubted: usize,
-    /// With an overdue part.
+    /// Of the ready ones, those with an overdue part out.
     pub overdue: usize,
-    /// Younger than the warm-up time.
-    pub cold: usize,
+    /// Of the ready ones, those younger than the warm-up time.
+    pub young: usize,
     /// Each class's usual answer time in milliseconds.
     pub usual_ms: Vec<u32>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,7 +18,8 @@
 //! };
 //! let mut aggregator = Aggregator::new(settings, 7);
 //! let server = |id, cell| Listed {
-//!     server: ServerId(id), cell, zone: 0, state: ServerState::Ready, size: 1.0, weight: 1.0, generation: 0, ready_at: None,
+//!     server: ServerId(id), cell, zone: 0, state: ServerState::Ready, size: 1.0, weight: 1.0, generation: 0,
+//!     ready_at: None,
 //! };
 //! let now = Time::from_secs(100.0);
 //! let events = [
--- a/src/logic/beliefs.rs
+++ b/src/logic/beliefs.rs
@@ -16,7 +16,7 @@
             beliefs.ready += 1;
             beliefs.doubted += usize::from(self.doubted(now, server));
             beliefs.overdue += usize::from(server.out.first().is_some_and(|&(at, ..)| at <= now));
-            beliefs.cold += usize::from(server.ready_at.is_some_and(|at| now - at < self.settings.warm_up));
+            beliefs.young += usize::from(server.ready_at.is_some_and(|at| now - at < self.settings.warm_up));
         }
         beliefs.usual_ms = self.usual.iter().map(|usual| (usual * 1e3) as u32).collect();
         beliefs
