Take SIGTERM and SIGHUP through pipes, so that the program opens no Unix socket

Checked, not assumed: `ldd` shows libc, libm, libgcc_s and the loader; `run` is `exec target/release/cairnroad`; strace of a start (process and network calls) shows no clone, fork or execve of its own, no io_uring, splice or sendfile, but one socketpair(AF_UNIX, SOCK_STREAM) right after exec. It is the runtime's signal driver (tokio's `signal` feature), which makes a Unix socket pair at the first `signal()` in `serve`.

Change: node/src/signals.rs registers each signal with signal-hook's pipe handler on a pipe of its own (the write end non-blocking) and reads the other end when the runtime says it is readable; tokio's `signal` feature is off.

The new test `no_descriptor_of_the_program_is_a_unix_socket` compares the program's descriptors with /proc/net/unix: it fails before this change (three Unix socket descriptors) and passes after.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -17,6 +17,7 @@
 #[cfg(test)]
 mod parser_tests;
 mod pool;
+mod signals;
 mod stages;
 mod surface;
 mod tally;
@@ -27,6 +28,7 @@
 use clock::Clock;
 use contract::Contracts;
 use fronts::exchange::{Front, Kind};
+use signals::Signal;
 use stages::Core;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -34,7 +36,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use words::Phase;
 
@@ -118,8 +119,8 @@
 }
 
 async fn serve(config: config::Config) -> Result<(), String> {
-    let mut stop = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let hangups = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let mut stop = Signal::new(signal_hook::consts::SIGTERM).map_err(|e| format!("SIGTERM: {e}"))?;
+    let hangups = Signal::new(signal_hook::consts::SIGHUP).map_err(|e| format!("SIGHUP: {e}"))?;
     let clock = Clock::new();
     let contracts = Rc::new(Contracts::new(clock.clone(), surface::pages(&config)));
     if !config.contracts.is_empty() {
--- a/node/tests/serving.rs
+++ b/node/tests/serving.rs
@@ -434,3 +434,22 @@
     wait_for("the end", || rig.child.try_wait().unwrap().is_some());
     assert!(rig.child.wait().unwrap().success());
 }
+
+/// The platform's hosts refuse Unix sockets (DEPLOY): none of the program's descriptors may be one, also after
+/// the signals that it answers have come.
+#[test]
+fn no_descriptor_of_the_program_is_a_unix_socket() {
+    let rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Serve), 1000);
+    rig.signal("HUP");
+    rig.wait_for_line("reload");
+    let listed = std::fs::read_to_string("/proc/net/unix").unwrap();
+    let unix: Vec<&str> = listed.lines().skip(1).filter_map(|line| line.split_whitespace().nth(6)).collect();
+    let descriptors = std::fs::read_dir(format!("/proc/{}/fd", rig.child.id())).unwrap();
+    let sockets: Vec<String> = descriptors
+        .filter_map(|entry| std::fs::read_link(entry.unwrap().path()).ok())
+        .filter_map(|target| target.to_str()?.strip_prefix("socket:[")?.strip_suffix(']').map(String::from))
+        .collect();
+    assert!(!sockets.is_empty(), "the program listens");
+    let found: Vec<&String> = sockets.iter().filter(|inode| unix.contains(&inode.as_str())).collect();
+    assert!(found.is_empty(), "Unix sockets among the descriptors: {found:?}");
+}
