--- a/node/src/signals.rs
+++ b/node/src/signals.rs
@@ -1,7 +1,7 @@
 //! SIGTERM and SIGHUP without a Unix socket. The runtime's own signal driver makes a Unix socket pair at its first
-//! use, and the platform's hosts refuse Unix sockets to the program (DEPLOY). Each signal here writes a byte to a
-//! pipe of its own from its handler, and the program reads the pipe's other end when the runtime says it is
-//! readable.
+//! use, while the hosts of the fleet's test take TCP and UDP over IPv4 only, and the program's deployment allows no
+//! Unix socket. Each signal here writes a byte to a pipe of its own from its handler, and the program reads the
+//! pipe's other end when the runtime says it is readable.
 
 use std::io::ErrorKind;
 use tokio::net::unix::pipe;
