--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -174,9 +174,9 @@
 
 impl Limits {
     /// Half of the descriptors for clients with a request open and a sixteenth more to tell others to come
-    /// back, three eighths for servers; the rest is for discovery and the runtime. Memory caps clients: one may hold 64 KiB of body twice over. Turns take every replica of
-    /// a shard, so a coordinator of a fleet meets every server: with fewer connections than servers, each
-    /// query's calls close those that the next one needs, and each dial costs the server a handshake.
+    /// back, three eighths for servers; the rest is for discovery and the runtime. Memory caps clients: one
+    /// may hold 64 KiB of body twice over. Turns take every replica of a shard, so a coordinator of a fleet
+    /// meets every server, and each connection closed for want of room is a handshake again.
     fn new(memory_mb: u64, sockets: usize) -> Limits {
         let by_memory = (memory_mb as usize).saturating_mul(1024) / 160 / 2;
         let clients = (sockets / 2).min(by_memory).max(8);
--- a/node/tests/serving.rs
+++ b/node/tests/serving.rs
@@ -435,8 +435,8 @@
     assert!(rig.child.wait().unwrap().success());
 }
 
-/// The platform's hosts refuse Unix sockets (DEPLOY): none of the program's descriptors may be one, also after
-/// the signals that it answers have come.
+/// The program's deployment allows no Unix socket, and the fleet's test hosts take TCP and UDP only: none of the
+/// program's descriptors may be one, also after the signals that it answers have come.
 #[test]
 fn no_descriptor_of_the_program_is_a_unix_socket() {
     let rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Serve), 1000);
