Close the idle connection used last when the table of connections is full

Change: it closes the idle connection used last, to which turns come back last; busy ones stay as before. `room_is_made_by_the_idle_connection_used_last` fails with the old choice (it closes server 0) and passes.

--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -279,10 +279,12 @@
         Some(id)
     }
 
-    /// Makes room under the limit on connections.
+    /// Makes room under the limit on connections: closes the idle one used last. Turns come back to that server
+    /// last of all, while the one used longest ago is next; closing that one misses each time where a fleet has
+    /// more servers than the table has room.
     fn close_an_idle_one(&mut self) -> bool {
         let idle = self.links.values_mut().filter(|link| link.out.is_empty() && !link.retired);
-        match idle.min_by_key(|link| link.used) {
+        match idle.max_by_key(|link| link.used) {
             Some(link) => {
                 link.end();
                 true
@@ -449,6 +451,47 @@
         Job { attempt, name, class, shard: 0, text, until, judge: None }
     }
 
+    /// Guards against a table smaller than the cycle of turns: closing the connection used longest ago closes the
+    /// one whose turn is next.
+    #[test]
+    fn room_is_made_by_the_idle_connection_used_last() {
+        before_a_server(|listener, mut pool, _messages, _clock| async move {
+            let address = listener.local_addr().unwrap();
+            let link = |server: u32, used: f64, busy: bool| {
+                let out = if busy {
+                    BTreeSet::from([Attempt { part: RequestId(9), number: 0 }])
+                } else {
+                    BTreeSet::new()
+                };
+                let (commands, _) = mpsc::channel(1);
+                let shared = Rc::new(Shared::default());
+                let (unheard, owes_since, retired, up) = (0.0, None, false, true);
+                let used = Time::from_secs(used);
+                Link {
+                    server: ServerId(server),
+                    address,
+                    commands,
+                    shared,
+                    up,
+                    out,
+                    used,
+                    unheard,
+                    owes_since,
+                    retired,
+                }
+            };
+            for (id, (server, used, busy)) in
+                [(0, 1.0, false), (1, 3.0, false), (2, 4.0, true), (3, 2.0, false)].into_iter().enumerate()
+            {
+                pool.links.insert(id as u64, link(server, used, busy));
+            }
+            assert!(pool.close_an_idle_one());
+            let closed: Vec<u32> =
+                pool.links.values().filter(|link| link.retired).map(|link| link.server.0).collect();
+            assert_eq!(closed, [1], "the idle one used last; a busy one stays");
+        });
+    }
+
     /// Guards against a connection that fell silent and stays in use because each part on it is cancelled before
     /// its silence has lasted.
     #[test]
