Take the inherited listener and operators' calls; leave suspended nodes out; drain a coordinator

Change: the crate operate decides what a call is and which data nodes are left out, free of I/O and clock; node/src/door.rs takes calls, shelf.rs keeps bans in a folder that all processes of a coordinator share, inherit.rs takes the socket that NODE_INHERITED_FD names. A newcomer accepts once it is ready, the old process stops accepting with SIGTERM. A phase between serving and stopping sends clients away. Rows of the list are kept in the directory, to be told again when a ban ends.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -36,6 +36,12 @@
     /// The list as an earlier life had it.
     pub known: News,
     pub deployment: Deployment,
+    /// Where operators' calls are taken, if anywhere.
+    pub admin: Option<SocketAddr>,
+    /// The folder that all processes of one coordinator share (`TMPDIR`), if there is one.
+    pub passing: Option<PathBuf>,
+    /// The descriptor of the clients' listening socket, where the platform holds that.
+    pub inherited: Option<i32>,
     /// Where the second front listens, if it is on.
     pub opensearch: Option<SocketAddr>,
     /// What its clients may name.
@@ -55,6 +61,7 @@
         let keys = [
             ("name", self.name != other.name),
             ("listen", self.listen != other.listen),
+            ("admin", self.admin != other.admin),
             ("limits", self.limits != other.limits),
             ("settings", self.settings != other.settings),
             ("opensearch", self.opensearch != other.opensearch || self.indices != other.indices),
@@ -199,6 +206,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    admin: Option<String>,
     seed: Option<String>,
     limits: Option<JsonLimits>,
     known: Option<Page>,
@@ -356,6 +364,16 @@
     let indices = indices(own.opensearch.index, &deployment, own_text)?;
     let files = membership(own.membership, folder, own_text, &deployment)?;
     let contracts = contracts(own.contract, folder, own_text)?;
+    let inherited = match var("NODE_INHERITED_FD") {
+        None => None,
+        Some(text) => match text.parse::<i32>() {
+            Ok(number) if number > 2 => Some(number),
+            _ => return Err(format!("NODE_INHERITED_FD: '{text}' is not a descriptor above 2").into()),
+        },
+    };
+    let admin = json.admin.or_else(|| var("NODE_ADMIN"));
+    // A process that is replaced under load shares its limits with the one that replaces it.
+    let sharers = if inherited.is_some() { 2 } else { 1 };
     Ok(Config {
         name: told("name", "NODE_NAME", json.name).unwrap_or_else(|_| "cairnroad".into()),
         listen: address("listen", told("listen", "NODE_LISTEN", json.listen)?)?,
@@ -365,9 +383,12 @@
         },
         files,
         seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("'seed': '{seed}' is not hexadecimal"))?,
+        admin: admin.map(|text| address("admin", text)).transpose()?,
+        passing: var("TMPDIR").map(PathBuf::from),
+        inherited,
         limits: Limits::new(
-            limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB),
-            limits.sockets.unwrap_or(DEFAULT_SOCKETS),
+            limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) / sharers,
+            limits.sockets.unwrap_or(DEFAULT_SOCKETS) / sharers as usize,
         ),
         known: json.known.map(Page::news).unwrap_or_default(),
         deployment,
@@ -473,6 +494,8 @@
         json!({
             "name": self.name,
             "listen": self.listen.to_string(),
+            "inherited": self.inherited,
+            "admin": self.admin.map(|address| address.to_string()),
             "discovery": self.discovery.map(|address| address.to_string()),
             "membership": self.files.as_ref().map(|source| {
                 let state = source.state.as_ref().map(|state| state.display().to_string());
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -32,7 +32,7 @@
 /// never twice. An id that is gone is forgotten: on a long day servers are replaced under new ids without end.
 #[derive(Default)]
 pub struct Directory {
-    numbers: BTreeMap<String, ServerId>,
+    numbers: BTreeMap<String, (ServerId, Row)>,
     next: u32,
 }
 
@@ -41,18 +41,21 @@
     pub fn number(&mut self, news: &News) -> Vec<(ServerId, Row)> {
         let mut rows = Vec::with_capacity(news.rows.len());
         for row in &news.rows {
-            let known = self.numbers.get(&row.id).copied();
+            let known = self.numbers.get(&row.id).map(|(number, _)| *number);
             let number = match (known, row.state) {
                 (Some(number), ServerState::Gone) => {
                     self.numbers.remove(&row.id);
                     number
                 }
-                (Some(number), _) => number,
+                (Some(number), _) => {
+                    self.numbers.insert(row.id.clone(), (number, row.clone()));
+                    number
+                }
                 (None, ServerState::Gone) => continue,
                 (None, _) => {
                     let number = ServerId(self.next);
                     self.next += 1;
-                    self.numbers.insert(row.id.clone(), number);
+                    self.numbers.insert(row.id.clone(), (number, row.clone()));
                     number
                 }
             };
@@ -60,11 +63,16 @@
         }
         if news.complete && !rows.is_empty() {
             let listed: BTreeSet<ServerId> = rows.iter().map(|(number, _)| *number).collect();
-            self.numbers.retain(|_, number| listed.contains(number));
+            self.numbers.retain(|_, (number, _)| listed.contains(number));
         }
         rows
     }
 
+    /// What the list last said of a server.
+    pub fn row(&self, id: &str) -> Option<(ServerId, Row)> {
+        self.numbers.get(id).cloned()
+    }
+
     /// How many servers have a number.
     #[cfg(test)]
     pub fn len(&self) -> usize {
--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -35,6 +35,9 @@
 const UNREAD: Duration = Duration::from_secs(5);
 /// How long an idle connection is still read once the program closes.
 const LAST_GRACE: Duration = Duration::from_millis(100);
+/// How long an idle connection stays open before that once operators send clients away: the front asks for health ten
+/// times a second and sends nobody new 0.2 s after a no, and those who are there may still ask and learn to leave.
+const DRAINED_IDLE: Duration = Duration::from_millis(500);
 /// For how long a client that sends ahead of its answers is served one by one. Hundreds of requests at once are
 /// owed an end within 3 s; what wasn't read by then is refused, and never ran.
 const AHEAD: Duration = Duration::from_secs(2);
@@ -150,7 +153,7 @@
 }
 
 fn stopping(phase: Phase) -> bool {
-    matches!(phase, Phase::Stopping | Phase::Closing)
+    matches!(phase, Phase::Drained | Phase::Stopping | Phase::Closing)
 }
 
 /// The connection's next request; `None` at its end, or where it idles too long, its place is needed or the
@@ -186,7 +189,10 @@
         }
         // A connection that came late in the closing gets the time for its request to follow.
         let closing = async {
-            let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+            let ends = phase.wait_for(|phase| matches!(phase, Phase::Drained | Phase::Closing)).await;
+            if ends.is_ok_and(|phase| *phase == Phase::Drained) {
+                tokio::time::sleep(DRAINED_IDLE).await;
+            }
             tokio::time::sleep(LAST_GRACE).await;
         };
         // From its first byte on a request has one span for all of it: bytes that trickle in don't renew it.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,8 +8,10 @@
 mod config;
 mod contract;
 mod discovery;
+mod door;
 mod fronts;
 mod http;
+mod inherit;
 mod link;
 mod log;
 mod members;
@@ -17,6 +19,7 @@
 #[cfg(test)]
 mod parser_tests;
 mod pool;
+mod shelf;
 mod signals;
 mod stages;
 mod surface;
@@ -63,9 +66,11 @@
     let run = || -> Result<(), String> {
         let config = config::load(variable)?;
         log::start(config.log.level, config.log.format);
+        // Before anything else opens a descriptor or starts a thread.
+        let inherited = config.inherited.map(inherit::listener).transpose()?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-        tokio::task::LocalSet::new().block_on(&runtime, serve(config))
+        tokio::task::LocalSet::new().block_on(&runtime, serve(config, inherited))
     };
     match run() {
         Ok(()) => ExitCode::SUCCESS,
@@ -118,7 +123,7 @@
     contracts.adopt(read.map_err(|e| format!("reading descriptions: {e}"))?)
 }
 
-async fn serve(config: config::Config) -> Result<(), String> {
+async fn serve(config: config::Config, inherited: Option<std::net::TcpListener>) -> Result<(), String> {
     let mut stop = Signal::new(signal_hook::consts::SIGTERM).map_err(|e| format!("SIGTERM: {e}"))?;
     let hangups = Signal::new(signal_hook::consts::SIGHUP).map_err(|e| format!("SIGHUP: {e}"))?;
     let clock = Clock::new();
@@ -133,11 +138,17 @@
     let places = Rc::new(fronts::places::Places::default());
     let deployment = Rc::new(config.deployment.clone());
     let indices = Rc::new(config.indices.clone());
+    let shared = inherited.is_some();
+    let mut inherited = inherited;
     let addresses = [(Some(config.listen), Kind::Platform), (config.opensearch, Kind::OpenSearch)];
     let mut listeners = Vec::new();
     for (address, kind) in addresses {
         let Some(address) = address else { continue };
-        let listener = TcpListener::bind(address).await.map_err(|e| format!("listen on {address}: {e}"))?;
+        let listener = match inherited.take_if(|_| kind == Kind::Platform) {
+            Some(listener) => TcpListener::from_std(listener),
+            None => TcpListener::bind(address).await,
+        };
+        let listener = listener.map_err(|e| format!("listen on {address}: {e}"))?;
         let bound = listener.local_addr().map_err(|e| format!("listen on {address}: {e}"))?;
         let front = if kind == Kind::Platform { "platform" } else { "opensearch" };
         tracing::info!(name = config.name, front, address = %bound, "listening");
@@ -153,11 +164,24 @@
             indices: indices.clone(),
             contracts: contracts.clone(),
         };
-        listeners.push(tokio::task::spawn_local(fronts::listen(listener, Rc::new(front))));
+        let mut phases = phases.clone();
+        listeners.push(tokio::task::spawn_local(async move {
+            // Whoever waits at a listener that two processes share is the old one's until this one can serve.
+            if shared && phases.wait_for(|phase| *phase != Phase::Starting).await.is_err() {
+                return;
+            }
+            fronts::listen(listener, Rc::new(front)).await;
+        }));
     }
     for (name, class) in config.deployment.class_names.iter().zip(&config.deployment.policy.classes) {
         tracing::info!(class = name, aim_s = class.aim, deadline_s = class.deadline, "class");
     }
+    if let Some(address) = config.admin {
+        let listener =
+            TcpListener::bind(address).await.map_err(|e| format!("admin: listen on {address}: {e}"))?;
+        tracing::info!(%address, "operators' calls are taken");
+        tokio::task::spawn_local(door::listen(listener, to_core.clone(), phase.clone()));
+    }
     let core = Core::new(
         &config,
         contracts.clone(),
@@ -178,7 +202,11 @@
         _ = stop.recv() => {}
         end = core => return Err(format!("the core ended: {end:?}")),
     }
-    // The order to stop: all that still comes is answered, then the program ends.
+    // The order to stop: all that still comes is answered, then the program ends. At a listener that is shared all
+    // that still comes is the newcomer's.
+    if shared {
+        listeners.iter().for_each(|listener| listener.abort());
+    }
     phase.send_replace(Phase::Stopping);
     tokio::time::sleep(CLOSE_IDLE).await;
     phase.send_replace(Phase::Closing);
--- /dev/null
+++ b/node/src/shelf.rs
@@ -0,0 +1,156 @@
+//! Where bans on data nodes are kept: a folder that all processes of one coordinator share, a file each, so that two
+//! processes never undo each other's changes. A file is written aside and renamed; half a file is never read.
+
+use cairnroad_operate::bans::{Ban, MOST_BANS};
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+
+/// The ending of a ban's file. Others, such as one half written, are passed over.
+const ENDING: &str = "ban";
+/// The longest file that is read, in bytes: a ban takes some 60.
+const MOST_BYTES: u64 = 4096;
+
+/// The folder, if there is one, and what could not be written there yet.
+#[derive(Default)]
+pub struct Shelf {
+    folder: Option<PathBuf>,
+    unkept: BTreeMap<String, Ban>,
+    complained: bool,
+}
+
+impl Shelf {
+    /// The shelf of the coordinator of this name below the folder for passing files.
+    pub fn new(passing: Option<&Path>, name: &str) -> Shelf {
+        let folder = passing.map(|passing| passing.join(format!("cairnroad-{}", escape(name))));
+        let made = folder.as_ref().map_or(Ok(()), std::fs::create_dir_all);
+        if let (Err(cause), Some(folder)) = (made, &folder) {
+            tracing::error!(folder = %folder.display(), %cause, "bans can't be kept");
+        }
+        Shelf { folder, ..Shelf::default() }
+    }
+
+    /// Keeps a ban, or how it ended. Where that fails it is tried again at the next look.
+    pub fn keep(&mut self, id: &str, ban: Ban) {
+        let Some(folder) = &self.folder else { return };
+        let path = folder.join(format!("{}.{ENDING}", escape(id)));
+        let aside = folder.join(format!("{}.{}", escape(id), std::process::id()));
+        let text = serde_json::to_vec(&(id, ban)).unwrap_or_default();
+        let written = std::fs::write(&aside, text).and_then(|()| std::fs::rename(&aside, path));
+        match written {
+            Ok(()) => {
+                self.unkept.remove(id);
+            }
+            Err(cause) => {
+                let _ = std::fs::remove_file(aside);
+                if !std::mem::replace(&mut self.complained, true) {
+                    tracing::error!(%cause, server = id, "a ban holds in this process only");
+                }
+                self.unkept.insert(id.into(), ban);
+            }
+        }
+    }
+
+    /// Takes a ban off that is over.
+    pub fn drop(&mut self, id: &str) {
+        self.unkept.remove(id);
+        if let Some(folder) = &self.folder {
+            let _ = std::fs::remove_file(folder.join(format!("{}.{ENDING}", escape(id))));
+        }
+    }
+
+    /// All that is kept; `None` where there is no folder, or it can't be read.
+    pub fn look(&mut self) -> Option<BTreeMap<String, Ban>> {
+        for (id, ban) in self.unkept.clone() {
+            self.keep(&id, ban);
+        }
+        let mut all = self.unkept.clone();
+        let files = std::fs::read_dir(self.folder.as_ref()?).ok()?;
+        let paths: BTreeSet<PathBuf> = files.flatten().map(|file| file.path()).collect();
+        let bans = paths.iter().filter(|path| path.extension().is_some_and(|ending| ending == ENDING));
+        for path in bans.take(MOST_BANS) {
+            match read(path) {
+                Ok((id, ban)) => {
+                    all.entry(id).or_insert(ban);
+                }
+                // Taken off by another process between the two reads.
+                Err(cause) if cause.kind() == std::io::ErrorKind::NotFound => {}
+                Err(cause) => {
+                    if !std::mem::replace(&mut self.complained, true) {
+                        tracing::error!(file = %path.display(), %cause, "a ban can't be read");
+                    }
+                }
+            }
+        }
+        Some(all)
+    }
+}
+
+fn read(path: &Path) -> std::io::Result<(String, Ban)> {
+    use std::io::Read;
+    let mut text = Vec::new();
+    std::fs::File::open(path)?.take(MOST_BYTES).read_to_end(&mut text)?;
+    Ok(serde_json::from_slice(&text)?)
+}
+
+/// A file's name for an id: what is plain stays, so that people can read it.
+fn escape(id: &str) -> String {
+    let mut name = String::with_capacity(id.len());
+    for byte in id.bytes() {
+        if byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_' {
+            name.push(char::from(byte));
+        } else {
+            name.push_str(&format!("%{byte:02x}"));
+        }
+    }
+    // The longest id that a call may name fits a file name in all but odd cases; those are told apart by their sum.
+    if name.len() > 200 {
+        let sum = crc32fast::hash(id.as_bytes());
+        name.truncate(180);
+        name.push_str(&format!("~{sum:08x}"));
+    }
+    name
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn folder(name: &str) -> PathBuf {
+        let folder = std::env::temp_dir().join(format!("cairnroad-shelf-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        folder
+    }
+
+    #[test]
+    fn two_processes_see_each_others_bans_and_undo_none() {
+        let folder = folder("two");
+        let (mut old, mut new) = (Shelf::new(Some(&folder), "n1"), Shelf::new(Some(&folder), "n1"));
+        let ban = |since_us| Ban { since_us, back_us: None };
+        old.keep("s-1", ban(1));
+        new.keep("s/2", ban(2));
+        let both = BTreeMap::from([("s-1".to_string(), ban(1)), ("s/2".to_string(), ban(2))]);
+        assert_eq!((old.look(), new.look()), (Some(both.clone()), Some(both)));
+        new.drop("s-1");
+        assert_eq!(old.look().map(|all| all.into_keys().collect()), Some(vec!["s/2".to_string()]));
+        // What is half written, or nobody's, costs nothing.
+        std::fs::write(folder.join("cairnroad-n1/s-3.ban"), "[\"s-").unwrap();
+        std::fs::write(folder.join("cairnroad-n1/s-4.17"), "x").unwrap();
+        assert_eq!(old.look().map(|all| all.len()), Some(1));
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+
+    /// Guards against a ban that the next look lifts because it could not be written.
+    #[test]
+    fn a_ban_that_cannot_be_kept_holds_here_and_is_kept_later() {
+        let folder = folder("full");
+        let mut shelf = Shelf::new(Some(&folder), "n1");
+        let own = folder.join("cairnroad-n1");
+        std::fs::remove_dir_all(&own).unwrap();
+        shelf.keep("s-1", Ban { since_us: 1, back_us: None });
+        assert_eq!(shelf.look(), None, "nothing is taken off while the folder can't be read");
+        std::fs::create_dir_all(&own).unwrap();
+        assert_eq!(shelf.look().map(|all| all.len()), Some(1));
+        assert!(own.join("s-1.ban").exists());
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+}
--- a/node/src/stages/mod.rs
+++ b/node/src/stages/mod.rs
@@ -16,10 +16,13 @@
 use crate::contract::Contracts;
 use crate::discovery::{self, Directory};
 use crate::pool::{Brought, Pool};
+use crate::shelf::Shelf;
 use crate::tally::{Count, Tally};
 use crate::wheel::{Due, Wheel};
-use crate::words::{Ask, Attempt, Ended, Message, News, Phase};
-use cairnroad::{Action, Event, Outcome, Time};
+use crate::words::{Ask, Attempt, Ended, Message, News, Phase, Row};
+use cairnroad::{Action, Event, Outcome, ServerId, Time};
+use cairnroad_operate::bans::Bans;
+use cairnroad_operate::call::{Call, Verdict};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -30,6 +33,10 @@
 /// How long a fresh list is waited for before a cached one will do.
 const FRESH_LIST: f64 = 1.0;
 
+/// How often the bans that another process may have changed are looked at, in seconds: well within the grace of a
+/// quarter second after which a suspended server gets nothing new.
+const LOOK: f64 = 0.05;
+
 /// All state of the core, in the hands of one task.
 pub struct Core {
     clock: Clock,
@@ -46,6 +53,9 @@
     fresh_list: bool,
     tally: Tally,
     warm_up: f64,
+    bans: Bans,
+    /// Where bans are kept; `None` without a door for operators.
+    shelf: Option<Shelf>,
 }
 
 impl Core {
@@ -75,7 +85,11 @@
             fresh_list: false,
             tally: Tally::new(f64::from(config.log.tally_s), now),
             warm_up: config.deployment.policy.warm_up,
+            bans: Bans::default(),
+            shelf: config.admin.map(|_| Shelf::new(config.passing.as_deref(), &config.name)),
         };
+        // Before any list: what an earlier process was told must hold from the first send on.
+        core.look(now);
         core.note_news(&config.known, true);
         core
     }
@@ -110,6 +124,9 @@
                     Some(Brought::NotUp) => self.tally.add(Count::DialFaults),
                     None => {}
                 },
+                Message::Operate(call, reply) => {
+                    let _ = reply.send(self.operate(now, call));
+                }
             }
         }
         for due in self.wheel.turn(now) {
@@ -125,6 +142,7 @@
                     self.pool.sweep(now);
                     self.wheel.insert(now + SWEEP, Due::Sweep);
                 }
+                Due::Look => self.look(now),
             }
         }
         for query in self.book.lost_clients() {
@@ -190,12 +208,89 @@
         if !news.rows.is_empty() {
             self.tally.add(if news.complete { Count::Lists } else { Count::Changes });
         }
-        let rows = self.directory.number(news);
-        self.pool.note_list(&rows, news.complete);
-        self.route.push(Event::List(discovery::list_news(&rows, news.complete, cached)));
+        let mut rows = self.directory.number(news);
+        if self.shelf.is_some() {
+            rows.iter().for_each(|(_, row)| self.bans.listed(&row.id));
+        }
+        self.tell(&mut rows, news.complete, cached);
         self.fresh_list |= !cached;
     }
 
+    /// Tells pool and decisions what the list says, as operators' bans leave it.
+    fn tell(&mut self, rows: &mut [(ServerId, Row)], complete: bool, cached: bool) {
+        for (_, row) in &mut *rows {
+            (row.state, row.ready_at) = self.bans.overlay(&row.id, row.state, row.ready_at);
+        }
+        self.pool.note_list(rows, complete);
+        self.route.push(Event::List(discovery::list_news(rows, complete, cached)));
+    }
+
+    /// Looks at what another process of this coordinator may have changed.
+    fn look(&mut self, now: Time) {
+        let Some(shelf) = &mut self.shelf else { return };
+        for id in self.bans.expire(now, self.warm_up) {
+            shelf.drop(&id);
+        }
+        if let Some(kept) = shelf.look() {
+            let changed = self.bans.merge(&kept);
+            if !changed.is_empty() {
+                tracing::info!(servers = changed.join(", "), "another process's bans are taken over");
+                self.tell_again(&changed);
+            }
+        }
+        self.wheel.insert(now + LOOK, Due::Look);
+    }
+
+    /// Says anew what the list says of these servers.
+    fn tell_again(&mut self, ids: &[String]) {
+        let mut rows: Vec<_> = ids.iter().filter_map(|id| self.directory.row(id)).collect();
+        self.tell(&mut rows, false, false);
+    }
+
+    /// Carries out an operator's call.
+    fn operate(&mut self, now: Time, call: Call) -> Verdict {
+        let verdict = match &call {
+            Call::Ready => Verdict::Yes,
+            Call::Suspend(id) if !self.bans.knows(id) => Verdict::Unknown,
+            Call::Suspend(id) if !self.bans.has_room(id) => Verdict::TooMany,
+            Call::Suspend(id) => self.put(id, self.bans.suspended(id, now)),
+            Call::Resume(id) if !self.bans.knows(id) => Verdict::Unknown,
+            Call::Resume(id) => match self.bans.resumed(id, now) {
+                Some(ban) => self.put(id, ban),
+                None => Verdict::Yes,
+            },
+            Call::Drain => self.turn_to(|phase| match phase {
+                Phase::Starting | Phase::Serving => Some(Phase::Drained),
+                _ => None,
+            }),
+            // The next tick says whether it is ready.
+            Call::Activate => self.turn_to(|phase| (phase == Phase::Drained).then_some(Phase::Starting)),
+        };
+        tracing::info!(?call, ?verdict, "an operator's call");
+        verdict
+    }
+
+    fn put(&mut self, id: &str, ban: cairnroad_operate::bans::Ban) -> Verdict {
+        if self.bans.put(id, ban) {
+            if let Some(shelf) = &mut self.shelf {
+                shelf.keep(id, ban);
+            }
+            self.tell_again(&[id.to_string()]);
+        }
+        Verdict::Yes
+    }
+
+    fn turn_to(&self, next: impl Fn(Phase) -> Option<Phase>) -> Verdict {
+        let current = *self.phase.borrow();
+        if matches!(current, Phase::Stopping | Phase::Closing) {
+            return Verdict::NotNow("the process was told to stop");
+        }
+        if let Some(phase) = next(current) {
+            self.phase.send_replace(phase);
+        }
+        Verdict::Yes
+    }
+
     /// Ready once a server is known, from a fresh list or, if that doesn't come, from the cached one.
     fn is_ready(&self, now: Time) -> bool {
         self.pool.any_ready() && (self.fresh_list || now - self.started > FRESH_LIST)
--- a/node/src/wheel.rs
+++ b/node/src/wheel.rs
@@ -17,6 +17,8 @@
     Dial(u64),
     /// Idle connections are looked for.
     Sweep,
+    /// The kept bans are looked at.
+    Look,
 }
 
 /// Items by the tick in which they fall due.
--- a/node/src/words.rs
+++ b/node/src/words.rs
@@ -3,6 +3,7 @@
 
 use cairnroad::{Outcome, RequestId, ServerState, Time};
 use cairnroad_contract::decide::InForce;
+use cairnroad_operate::call::{Call, Verdict};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -173,6 +174,8 @@
 pub enum Message {
     News(News),
     Link(LinkEvent),
+    /// An operator's call, and where its end is told.
+    Operate(Call, oneshot::Sender<Verdict>),
 }
 
 /// The state that `/_health` and the connections of a stopping program go by.
@@ -180,6 +183,8 @@
 pub enum Phase {
     Starting,
     Serving,
+    /// Operators send clients away: all that comes is still answered.
+    Drained,
     /// Told to stop: all that comes is still answered.
     Stopping,
     /// Idle connections are closed.
--- /dev/null
+++ b/operate/src/bans.rs
@@ -0,0 +1,203 @@
+//! Which data nodes operators leave out. A ban holds whatever the list says, until the call back; after it the node
+//! counts as started anew, for it was restarted at some moment in between.
+
+use cairnroad::{ServerState, Time};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Most data nodes that are left out or just back.
+pub const MOST_BANS: usize = 512;
+/// Ids once listed that are remembered, to tell a wrong id from one that is gone. On a long day nodes are replaced
+/// under new ids without end.
+const MOST_SEEN: usize = 16_384;
+
+/// One data node's maintenance, as it is kept for the next process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ban {
+    /// When it was suspended, in microseconds of Unix time.
+    pub since_us: i64,
+    /// When it was called back; `null` while it is left out.
+    pub back_us: Option<i64>,
+}
+
+impl Ban {
+    fn holds(&self) -> bool {
+        self.back_us.is_none()
+    }
+}
+
+/// All bans, and which ids were ever listed.
+#[derive(Debug, Default)]
+pub struct Bans {
+    bans: BTreeMap<String, Ban>,
+    seen: BTreeSet<String>,
+    order: VecDeque<String>,
+}
+
+impl Bans {
+    /// Notes that the list names a data node.
+    pub fn listed(&mut self, id: &str) {
+        if self.seen.contains(id) {
+            return;
+        }
+        if self.order.len() >= MOST_SEEN {
+            if let Some(oldest) = self.order.pop_front() {
+                self.seen.remove(&oldest);
+            }
+        }
+        self.seen.insert(id.into());
+        self.order.push_back(id.into());
+    }
+
+    /// Whether a data node was ever listed, as far as this process knows.
+    pub fn knows(&self, id: &str) -> bool {
+        self.seen.contains(id) || self.bans.contains_key(id)
+    }
+
+    /// Whether another ban finds room.
+    pub fn has_room(&self, id: &str) -> bool {
+        self.bans.len() < MOST_BANS || self.bans.contains_key(id)
+    }
+
+    /// The ban that a call to suspend leaves in force. A repeated call changes nothing.
+    pub fn suspended(&self, id: &str, now: Time) -> Ban {
+        match self.bans.get(id) {
+            Some(ban) if ban.holds() => *ban,
+            _ => Ban { since_us: now.0, back_us: None },
+        }
+    }
+
+    /// What a call back leaves, if the data node was left out.
+    pub fn resumed(&self, id: &str, now: Time) -> Option<Ban> {
+        let ban = self.bans.get(id).filter(|ban| ban.holds())?;
+        Some(Ban { back_us: Some(now.0), ..*ban })
+    }
+
+    /// Puts a ban, or its end, into force. Whether that changes anything.
+    pub fn put(&mut self, id: &str, ban: Ban) -> bool {
+        self.has_room(id) && self.bans.insert(id.into(), ban) != Some(ban)
+    }
+
+    /// Takes in all that is kept, which another process may have changed. Returns the ids that changed. One that is
+    /// kept no more was called back long ago.
+    pub fn merge(&mut self, kept: &BTreeMap<String, Ban>) -> Vec<String> {
+        let dropped = self.bans.keys().filter(|id| !kept.contains_key(*id)).cloned();
+        let mut changed: Vec<String> = dropped.collect();
+        for id in &changed {
+            self.bans.remove(id);
+        }
+        for (id, ban) in kept {
+            if self.put(id, *ban) {
+                changed.push(id.clone());
+            }
+        }
+        changed
+    }
+
+    /// Ends the memory of those that were called back so long ago that they are warm; their ids.
+    pub fn expire(&mut self, now: Time, warm_up: f64) -> Vec<String> {
+        let warm = |ban: &Ban| ban.back_us.is_some_and(|at| now - Time(at) > warm_up);
+        let over: Vec<String> =
+            self.bans.iter().filter(|(_, ban)| warm(ban)).map(|(id, _)| id.clone()).collect();
+        for id in &over {
+            self.bans.remove(id);
+        }
+        over
+    }
+
+    /// What the decisions are told of a data node that the list calls so and that started then.
+    pub fn overlay(
+        &self,
+        id: &str,
+        state: ServerState,
+        started: Option<Time>,
+    ) -> (ServerState, Option<Time>) {
+        let Some(ban) = self.bans.get(id) else { return (state, started) };
+        match (ban.back_us, state) {
+            (None, ServerState::Ready) => (ServerState::Draining, started),
+            (Some(back), ServerState::Ready) => {
+                // A start that the list tells of since then is the true one.
+                let told = started.filter(|at| *at > Time(ban.since_us));
+                (state, Some(told.unwrap_or(Time(back))))
+            }
+            _ => (state, started),
+        }
+    }
+
+    /// The data nodes that are left out.
+    pub fn held(&self) -> impl Iterator<Item = &str> {
+        self.bans.iter().filter(|(_, ban)| ban.holds()).map(|(id, _)| id.as_str())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const READY: ServerState = ServerState::Ready;
+
+    fn at(secs: f64) -> Time {
+        Time::from_secs(secs)
+    }
+
+    #[test]
+    fn a_ban_holds_against_the_list_until_the_one_call_back() {
+        let mut bans = Bans::default();
+        bans.listed("s-1");
+        assert!(bans.knows("s-1") && !bans.knows("s-2"));
+        for now in [1.0, 2.0] {
+            let ban = bans.suspended("s-1", at(now));
+            assert_eq!(ban.since_us, 1_000_000, "a repeated call changes nothing");
+            bans.put("s-1", ban);
+        }
+        // Whatever the list says of it, a start included, it gets nothing new.
+        assert_eq!(bans.overlay("s-1", READY, None), (ServerState::Draining, None));
+        assert_eq!(bans.overlay("s-1", READY, Some(at(2.5))).0, ServerState::Draining);
+        assert_eq!(bans.overlay("s-1", ServerState::Gone, None).0, ServerState::Gone);
+        assert_eq!(bans.overlay("s-2", READY, None), (READY, None));
+        let back = bans.resumed("s-1", at(5.0)).unwrap();
+        assert!(bans.put("s-1", back) && bans.held().count() == 0);
+        assert_eq!(bans.resumed("s-1", at(6.0)), None, "one call back ends it");
+    }
+
+    /// Guards against a cold node that is pushed over because the list tells late of its start, or never.
+    #[test]
+    fn a_node_that_is_back_counts_as_started_at_the_call_or_as_the_list_says() {
+        let mut bans = Bans::default();
+        bans.put("s-1", Ban { since_us: 1_000_000, back_us: Some(5_000_000) });
+        assert_eq!(bans.overlay("s-1", READY, None), (READY, Some(at(5.0))));
+        assert_eq!(bans.overlay("s-1", READY, Some(at(0.5))), (READY, Some(at(5.0))), "an older start");
+        assert_eq!(bans.overlay("s-1", READY, Some(at(3.0))), (READY, Some(at(3.0))));
+        assert_eq!(bans.overlay("s-1", ServerState::Draining, None), (ServerState::Draining, None));
+        assert!(bans.expire(at(20.0), 16.0).is_empty());
+        assert_eq!(bans.expire(at(21.1), 16.0), ["s-1"]);
+        assert_eq!(bans.overlay("s-1", READY, None), (READY, None));
+    }
+
+    #[test]
+    fn what_another_process_keeps_is_taken_over() {
+        let mut bans = Bans::default();
+        let (held, back) = (Ban { since_us: 1, back_us: None }, Ban { since_us: 1, back_us: Some(2) });
+        let kept = |ban| BTreeMap::from([("s-1".to_string(), ban)]);
+        assert_eq!(bans.merge(&kept(held)), ["s-1"]);
+        assert!(bans.merge(&kept(held)).is_empty(), "nothing new");
+        assert!(bans.knows("s-1"), "a call back is taken though no list named it");
+        assert_eq!(bans.merge(&kept(back)), ["s-1"]);
+        assert_eq!(bans.merge(&BTreeMap::new()), ["s-1"]);
+        assert_eq!(bans.held().count(), 0);
+    }
+
+    #[test]
+    fn what_is_remembered_is_bounded() {
+        let mut bans = Bans::default();
+        for number in 0..MOST_SEEN + 10 {
+            bans.listed(&format!("s-{number}"));
+        }
+        assert!(!bans.knows("s-9") && bans.knows("s-10") && bans.seen.len() == MOST_SEEN);
+        for number in 0..MOST_BANS {
+            assert!(bans.put(&format!("s-{number}"), Ban { since_us: 1, back_us: None }));
+        }
+        assert!(!bans.has_room("s-x") && bans.has_room("s-0"));
+        assert!(!bans.put("s-x", Ban { since_us: 1, back_us: None }));
+    }
+}
--- /dev/null
+++ b/operate/src/lib.rs
@@ -0,0 +1,5 @@
+//! What operators ask of a running coordinator, decided without I/O and clock: which call a message is ([`call`]),
+//! which data nodes are left out and until when ([`bans`]).
+
+pub mod bans;
+pub mod call;
