Take settings live at SIGHUP, whole or not at all; keep classes' places while held

Change: deadlines, aims and attempts must be above 0, classes' names stand once; a later file must have every key that the one in force has (operate/src/retune.rs). Classes get places by name; one that is gone or changed keeps its place while a request holds it. The core takes settings between two ticks and publishes what the fronts offer.

--- a/node/src/contract.rs
+++ b/node/src/contract.rs
@@ -103,7 +103,7 @@
     clients: Arc<str>,
     own: Arc<str>,
     unknown: Arc<str>,
-    pages: Pages,
+    pages: RefCell<Pages>,
 }
 
 /// The coordinator's own descriptions, as they are served.
@@ -157,7 +157,7 @@
             clients: "clients".into(),
             own: "coordinator".into(),
             unknown: UNKNOWN.into(),
-            pages,
+            pages: RefCell::new(pages),
         }
     }
 
@@ -370,11 +370,16 @@
         true
     }
 
+    /// Serves other descriptions of its own: the settings in force have changed.
+    pub fn republish(&self, pages: Pages) {
+        *self.pages.borrow_mut() = pages;
+    }
+
     /// The pages of the query front that tell of descriptions; `None`: the path is none of them.
     pub fn page(&self, path: &str) -> Option<Vec<u8>> {
         match path {
-            "/openapi.json" => Some(self.pages.openapi.clone()),
-            "/asyncapi.json" => Some(self.pages.asyncapi.clone()),
+            "/openapi.json" => Some(self.pages.borrow().openapi.clone()),
+            "/asyncapi.json" => Some(self.pages.borrow().asyncapi.clone()),
             "/_contract" => Some(self.drift().to_string().into_bytes()),
             _ => None,
         }
--- a/node/src/fronts/exchange.rs
+++ b/node/src/fronts/exchange.rs
@@ -3,13 +3,13 @@
 
 use super::places::Places;
 use crate::clock::Clock;
-use crate::config::{Index, Limits};
+use crate::config::Limits;
 use crate::contract::Contracts;
 use crate::stages::intake;
-use crate::words::{Answer, Ask, Judge, Phase, Request};
-use cairnroad_settings::Deployment;
+use crate::words::{Answer, Ask, Judge, Offer, Phase, Request};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
@@ -21,7 +21,8 @@
 
 /// What every connection of a front holds.
 pub struct Front {
-    pub deployment: Rc<Deployment>,
+    /// What clients may ask for; it changes with the settings.
+    pub offer: watch::Receiver<Arc<Offer>>,
     pub core: mpsc::Sender<Ask>,
     pub clock: Clock,
     pub phase: watch::Receiver<Phase>,
@@ -31,12 +32,15 @@
     pub kind: Kind,
     /// Names for requests that bring none.
     pub names: Cell<u64>,
-    /// What the query API's clients may name.
-    pub indices: Rc<Vec<Index>>,
     pub contracts: Rc<Contracts>,
 }
 
 impl Front {
+    /// What clients may ask for now.
+    pub fn offer(&self) -> Arc<Offer> {
+        self.offer.borrow().clone()
+    }
+
     /// A name for a request that brings none: unlike any other of this or another coordinator's.
     pub fn fresh_name(&self) -> String {
         let number = self.names.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/node/src/fronts/opensearch.rs
+++ b/node/src/fronts/opensearch.rs
@@ -2,8 +2,8 @@
 //! shards; each shard is one part.
 
 use super::exchange::{Exchange, Front, Reply, CROWDED_ADVICE};
-use crate::config::Index;
 use crate::http;
+use crate::words::Index;
 use crate::words::{Answer, PartAnswer, PartSpec, Request, Text, Value};
 use cairnroad::Time;
 use serde::{Deserialize, Serialize};
@@ -167,7 +167,7 @@
 
 /// The request that a search stands for: one part for each shard, all of the same weight.
 fn asked(front: &Front, search: &Search, arrived: Time) -> Request {
-    let deadline = front.deployment.policy.classes[search.index.class].deadline;
+    let deadline = front.offer().deployment.policy.classes[search.index.class].deadline;
     let weight = 1.0 / search.shards.len() as f64;
     Request {
         name: front.fresh_name().into(),
@@ -267,7 +267,7 @@
         return Err(illegal(format!("[{name}]: one index at a time is supported")));
     }
     let unknown = || Fault(404, "index_not_found_exception", format!("no such index [{name}]"));
-    let index = front.indices.iter().find(|index| index.name == name).ok_or_else(unknown)?.clone();
+    let index = front.offer().indices.iter().find(|index| index.name == name).ok_or_else(unknown)?.clone();
     let shards = shards(&index, terms.preference.as_deref())?;
     let blank = body.iter().all(u8::is_ascii_whitespace);
     let clauses: BTreeMap<String, Box<RawValue>> = match blank {
--- a/node/src/fronts/platform.rs
+++ b/node/src/fronts/platform.rs
@@ -51,7 +51,7 @@
         ("/api", _) => return Ok(error(405, "only POST is answered here").with("Allow", "POST".into())),
         _ => return Ok(error(404, "there is nothing at this path")),
     }
-    match read(&front.deployment, request, arrived) {
+    match read(&front.offer().deployment, request, arrived) {
         Err(text) => Ok(error(400, &text)),
         Ok(asked) => {
             let answers = exchange.ask(vec![asked]).await?;
@@ -69,7 +69,7 @@
         return Err("X-Request-Id is malformed".into());
     }
     let class = field("X-Class")?;
-    let class = deployment.class_names.iter().position(|n| n == class).ok_or("X-Class is unknown")?;
+    let class = deployment.place(class).ok_or("X-Class is unknown")?;
     let wait: f64 = field("X-Deadline")?.parse().map_err(|_| "X-Deadline is not a number")?;
     if !(wait.is_finite() && wait > 0.0 && wait < 1e6) {
         return Err("X-Deadline is out of bounds".into());
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -37,10 +37,11 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
-use words::Phase;
+use tokio::sync::{mpsc, oneshot, watch};
+use words::{Message, Offer, Phase};
 
 /// Messages from connections and discovery that may wait for the core's next tick.
 const MESSAGES: usize = 4096;
@@ -92,6 +93,7 @@
     mut config: config::Config,
     agent: watch::Sender<SocketAddr>,
     contracts: Rc<Contracts>,
+    core: mpsc::Sender<Message>,
 ) {
     while hangups.recv().await.is_some() {
         let fresh = match config::load(variable) {
@@ -101,6 +103,21 @@
                 continue;
             }
         };
+        if let Some(key) = config.lacked_by(&fresh) {
+            tracing::error!(
+                key,
+                "reload: the file lacks a key that the one in force has: the old settings stay"
+            );
+            continue;
+        }
+        match retune(&core, &fresh).await {
+            Ok(offer) => config.offer = offer,
+            Err(cause) => {
+                tracing::error!(cause, "reload: the old settings stay");
+                continue;
+            }
+        }
+        contracts.republish(surface::pages(&config));
         let waiting = config.needs_restart(&fresh);
         if !waiting.is_empty() {
             tracing::warn!(keys = waiting.join(", "), "reload: what changed here takes a restart");
@@ -112,7 +129,23 @@
         if let Err(text) = adopt(&contracts, &fresh).await {
             tracing::error!(cause = text, "reload: the descriptions in force stay");
         }
-        config.discovery = fresh.discovery;
+        (config.discovery, config.stated) = (fresh.discovery, fresh.stated);
+    }
+}
+
+/// Has the core take other settings, between two ticks and whole or not at all. Returns what is in force then.
+async fn retune(core: &mpsc::Sender<Message>, fresh: &config::Config) -> Result<Arc<Offer>, String> {
+    let (reply, taken) = oneshot::channel();
+    let offer = Box::new(Offer::clone(&fresh.offer));
+    core.send(Message::Retune(offer, reply)).await.map_err(|_| "the core ended")?;
+    let offer = taken.await.map_err(|_| "the core ended")??;
+    tell_classes(&offer);
+    Ok(offer)
+}
+
+fn tell_classes(offer: &Offer) {
+    for (_, name, class) in offer.deployment.offered() {
+        tracing::info!(class = name, aim_s = class.aim, deadline_s = class.deadline, "class");
     }
 }
 
@@ -136,8 +169,7 @@
     let (phase, phases) = watch::channel(Phase::Starting);
     let phase = Rc::new(phase);
     let places = Rc::new(fronts::places::Places::default());
-    let deployment = Rc::new(config.deployment.clone());
-    let indices = Rc::new(config.indices.clone());
+    let (offer, offers) = watch::channel(config.offer.clone());
     let shared = inherited.is_some();
     let mut inherited = inherited;
     let addresses = [(Some(config.listen), Kind::Platform), (config.opensearch, Kind::OpenSearch)];
@@ -153,7 +185,7 @@
         let front = if kind == Kind::Platform { "platform" } else { "opensearch" };
         tracing::info!(name = config.name, front, address = %bound, "listening");
         let front = Front {
-            deployment: deployment.clone(),
+            offer: offers.clone(),
             core: asks.clone(),
             clock: clock.clone(),
             phase: phases.clone(),
@@ -161,7 +193,6 @@
             places: places.clone(),
             kind,
             names: Cell::new(config.seed),
-            indices: indices.clone(),
             contracts: contracts.clone(),
         };
         let mut phases = phases.clone();
@@ -173,9 +204,7 @@
             fronts::listen(listener, Rc::new(front)).await;
         }));
     }
-    for (name, class) in config.deployment.class_names.iter().zip(&config.deployment.policy.classes) {
-        tracing::info!(class = name, aim_s = class.aim, deadline_s = class.deadline, "class");
-    }
+    tell_classes(&config.offer);
     if let Some(address) = config.admin {
         let listener =
             TcpListener::bind(address).await.map_err(|e| format!("admin: listen on {address}: {e}"))?;
@@ -189,15 +218,16 @@
         asked,
         (to_core.clone(), messages),
         phase.clone(),
+        offer,
     );
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
     let (agent, agents) = watch::channel(config.discovery.unwrap_or(nowhere));
     match config.files.clone() {
-        Some(source) => membership::start(source, to_core)?,
-        None => drop(tokio::task::spawn_local(discovery::watch(agents, to_core, contracts.clone()))),
+        Some(source) => membership::start(source, to_core.clone())?,
+        None => drop(tokio::task::spawn_local(discovery::watch(agents, to_core.clone(), contracts.clone()))),
     }
-    let core = tokio::task::spawn_local(core.run(config.deployment.policy.tick));
-    tokio::task::spawn_local(reload(hangups, config, agent, contracts));
+    let core = tokio::task::spawn_local(core.run(config.offer.deployment.policy.tick));
+    tokio::task::spawn_local(reload(hangups, config, agent, contracts, to_core));
     tokio::select! {
         _ = stop.recv() => {}
         end = core => return Err(format!("the core ended: {end:?}")),
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -9,6 +9,7 @@
 use crate::tally::{Count, Tally};
 use crate::words::{Attempt, Ended, Job, LinkEvent, Message, Row, What};
 use cairnroad::{Outcome, ServerId, ServerState, Time};
+use cairnroad_settings::Deployment;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -92,6 +93,11 @@
     ready_at: Option<Time>,
 }
 
+/// Silence, in seconds, after which a connection gets nothing new.
+fn silent(deployment: &Deployment) -> f64 {
+    deployment.offered().map(|(.., class)| class.aim).fold(1.0, f64::min) * SILENT_SHARE
+}
+
 pub struct Pool {
     kind: BackendKind,
     most_links: usize,
@@ -116,7 +122,7 @@
 
 impl Pool {
     pub fn new(config: &Config, contracts: Rc<Contracts>, clock: Clock, core: mpsc::Sender<Message>) -> Self {
-        let deployment = &config.deployment;
+        let deployment = &config.offer.deployment;
         // HTTP/1.1 carries one request at a time, and a search is a request of its own.
         let (streams, batch) = match config.backend {
             BackendKind::Frames => {
@@ -132,7 +138,7 @@
             batch,
             dial_timeout: deployment.dial_timeout,
             idle: deployment.keepalive * IDLE_SHARE,
-            silent: deployment.policy.classes.iter().map(|c| c.aim).fold(1.0, f64::min) * SILENT_SHARE,
+            silent: silent(deployment),
             report_names: deployment.report_names.clone().into(),
             contracts,
             clock,
@@ -145,6 +151,11 @@
         }
     }
 
+    /// Takes other settings.
+    pub fn retune(&mut self, deployment: &Deployment) {
+        self.silent = silent(deployment);
+    }
+
     pub fn any_ready(&self) -> bool {
         self.nodes.values().any(|node| node.state == ServerState::Ready)
     }
--- a/node/src/stages/book.rs
+++ b/node/src/stages/book.rs
@@ -3,6 +3,7 @@
 use crate::config::Config;
 use crate::words::{Answer, Ask, Attempt, Ended, Job, PartAnswer, PartSpec, Request, Value};
 use cairnroad::{Outcome, RequestId, Time};
+use cairnroad_settings::Deployment;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -60,9 +61,23 @@
 
 impl Book {
     pub fn new(config: &Config) -> Self {
-        let classes = config.deployment.class_names.iter().map(|name| name.as_str().into()).collect();
-        let cap = config.deployment.open_cap;
-        Book { cap, classes, next: 1, ..Book::default() }
+        let mut book = Book { next: 1, ..Book::default() };
+        book.retune(&config.offer.deployment);
+        book
+    }
+
+    /// Takes other settings. A place whose class is gone keeps its last name for the requests that hold it.
+    pub fn retune(&mut self, deployment: &Deployment) {
+        self.cap = deployment.open_cap;
+        self.classes.resize(deployment.class_names.len(), "".into());
+        for (place, name, _) in deployment.offered() {
+            self.classes[place] = name.into();
+        }
+    }
+
+    /// Whether a request that is open holds a class's place.
+    pub fn holds(&self, class: usize) -> bool {
+        self.queries.values().any(|open| open.request.class == class)
     }
 
     /// Whether a query of so many parts fits under the cap on queries and parts held.
--- a/node/src/stages/mod.rs
+++ b/node/src/stages/mod.rs
@@ -19,11 +19,13 @@
 use crate::shelf::Shelf;
 use crate::tally::{Count, Tally};
 use crate::wheel::{Due, Wheel};
-use crate::words::{Ask, Attempt, Ended, Message, News, Phase, Row};
-use cairnroad::{Action, Event, Outcome, ServerId, Time};
+use crate::words::{Ask, Attempt, Ended, Index, Message, News, Offer, Phase, Row};
+use cairnroad::{Action, ClassId, Event, Outcome, ServerId, Time};
 use cairnroad_operate::bans::Bans;
 use cairnroad_operate::call::{Call, Verdict};
+use cairnroad_operate::retune::{self, Retuned};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
@@ -49,6 +51,8 @@
     contracts: Rc<Contracts>,
     messages: mpsc::Receiver<Message>,
     phase: Rc<watch::Sender<Phase>>,
+    /// What the fronts offer.
+    offer: watch::Sender<Arc<Offer>>,
     started: Time,
     fresh_list: bool,
     tally: Tally,
@@ -66,9 +70,10 @@
         asks: mpsc::Receiver<Ask>,
         messages: (mpsc::Sender<Message>, mpsc::Receiver<Message>),
         phase: Rc<watch::Sender<Phase>>,
+        offer: watch::Sender<Arc<Offer>>,
     ) -> Self {
         let now = clock.now();
-        let mut wheel = Wheel::new(now, config.deployment.policy.tick);
+        let mut wheel = Wheel::new(now, config.offer.deployment.policy.tick);
         wheel.insert(now + SWEEP, Due::Sweep);
         let mut core = Core {
             clock: clock.clone(),
@@ -81,10 +86,11 @@
             contracts,
             messages: messages.1,
             phase,
+            offer,
             started: now,
             fresh_list: false,
             tally: Tally::new(f64::from(config.log.tally_s), now),
-            warm_up: config.deployment.policy.warm_up,
+            warm_up: config.offer.deployment.policy.warm_up,
             bans: Bans::default(),
             shelf: config.admin.map(|_| Shelf::new(config.passing.as_deref(), &config.name)),
         };
@@ -127,6 +133,9 @@
                 Message::Operate(call, reply) => {
                     let _ = reply.send(self.operate(now, call));
                 }
+                Message::Retune(fresh, reply) => {
+                    let _ = reply.send(self.retune(*fresh));
+                }
             }
         }
         for due in self.wheel.turn(now) {
@@ -247,6 +256,30 @@
         self.tell(&mut rows, false, false);
     }
 
+    /// Takes other settings: before anything else of this tick, and whole or not at all.
+    fn retune(&mut self, fresh: Offer) -> Result<Arc<Offer>, String> {
+        let in_force = self.offer.borrow().clone();
+        let held = |class: ClassId| self.book.holds(usize::from(class.0));
+        let retuned = retune::retune(&in_force.deployment, &fresh.deployment, held)?;
+        let Retuned { deployment, places, renewed, waiting } = retuned;
+        if !waiting.is_empty() {
+            tracing::warn!(
+                keys = waiting.join(", "),
+                "reload: settings that take a restart stay as they were"
+            );
+        }
+        let place = |class: usize| places.get(class).map(|place| usize::from(place.0));
+        let index = |index: Index| Some(Index { class: place(index.class)?, ..index });
+        let indices = fresh.indices.into_iter().filter_map(index).collect();
+        self.book.retune(&deployment);
+        self.pool.retune(&deployment);
+        self.route.retune(&deployment, &renewed, &places);
+        self.warm_up = deployment.policy.warm_up;
+        let offer = Arc::new(Offer { deployment, indices });
+        self.offer.send_replace(offer.clone());
+        Ok(offer)
+    }
+
     /// Carries out an operator's call.
     fn operate(&mut self, now: Time, call: Call) -> Verdict {
         let verdict = match &call {
@@ -311,7 +344,8 @@
             let (clock, (_asks, asked)) = (Clock::new(), mpsc::channel(4));
             let contracts = Rc::new(Contracts::new(clock.clone(), Default::default()));
             let phase = Rc::new(watch::channel(Phase::Starting).0);
-            let mut core = Core::new(&config, contracts, clock, asked, mpsc::channel(64), phase);
+            let offer = watch::channel(config.offer.clone()).0;
+            let mut core = Core::new(&config, contracts, clock, asked, mpsc::channel(64), phase, offer);
             for generation in 0..300 {
                 let row = |(at, state)| crate::words::Row {
                     id: format!("s-{at}"),
--- a/node/src/stages/route.rs
+++ b/node/src/stages/route.rs
@@ -1,7 +1,8 @@
 //! Route: the decisions, called once with all events of a tick.
 
 use crate::config::Config;
-use cairnroad::{Action, Aggregator, Beliefs, Event, Time};
+use cairnroad::{Action, Aggregator, Beliefs, ClassId, Event, Time};
+use cairnroad_settings::Deployment;
 
 pub struct Route {
     aggregator: Aggregator,
@@ -12,7 +13,7 @@
 
 impl Route {
     pub fn new(config: &Config) -> Self {
-        let policy = config.deployment.policy.clone();
+        let policy = config.offer.deployment.policy.clone();
         let aims = policy.classes.iter().map(|class| class.aim).collect();
         Route {
             aggregator: Aggregator::new(policy, config.seed),
@@ -22,6 +23,12 @@
         }
     }
 
+    /// Takes other settings, for all events from now on.
+    pub fn retune(&mut self, deployment: &Deployment, renewed: &[ClassId], offered: &[ClassId]) {
+        self.aims = deployment.policy.classes.iter().map(|class| class.aim).collect();
+        self.aggregator.retune(deployment.policy.clone(), renewed, offered);
+    }
+
     /// A class's aim in seconds.
     pub fn aim(&self, class: usize) -> f64 {
         self.aims.get(class).copied().unwrap_or(1.0)
--- a/node/src/surface.rs
+++ b/node/src/surface.rs
@@ -9,16 +9,16 @@
 
 /// The surface of a configuration.
 pub fn of(config: &Config) -> Surface {
-    let deployment = &config.deployment;
-    let classes = deployment.class_names.iter().zip(&deployment.policy.classes);
+    let deployment = &config.offer.deployment;
     let class_name = |class: usize| deployment.class_names.get(class).cloned().unwrap_or_default();
     Surface {
         version: env!("CARGO_PKG_VERSION").into(),
         listen: config.listen.to_string(),
         query: config.opensearch.map(|address| address.to_string()),
-        classes: classes
-            .map(|(name, class)| Class {
-                name: name.clone(),
+        classes: deployment
+            .offered()
+            .map(|(_, name, class)| Class {
+                name: name.into(),
                 aim: class.aim,
                 deadline: class.deadline,
                 repeatable: class.effect != Effect::Unsafe,
@@ -27,6 +27,7 @@
             .collect(),
         shards: deployment.shards,
         indices: config
+            .offer
             .indices
             .iter()
             .map(|index| Index {
--- a/node/src/words.rs
+++ b/node/src/words.rs
@@ -4,6 +4,7 @@
 use cairnroad::{Outcome, RequestId, ServerState, Time};
 use cairnroad_contract::decide::InForce;
 use cairnroad_operate::call::{Call, Verdict};
+use cairnroad_settings::Deployment;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -176,6 +177,24 @@
     Link(LinkEvent),
     /// An operator's call, and where its end is told.
     Operate(Call, oneshot::Sender<Verdict>),
+    /// Other settings, the indices that go by their classes, and where it is told what became of them.
+    Retune(Box<Offer>, oneshot::Sender<Result<Arc<Offer>, String>>),
+}
+
+/// What clients may ask for, and by which terms.
+#[derive(Clone, Debug, Default)]
+pub struct Offer {
+    pub deployment: Deployment,
+    pub indices: Vec<Index>,
+}
+
+/// An index of the query API: a class of query over a range of shards.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Index {
+    pub name: String,
+    pub class: usize,
+    pub first: u32,
+    pub last: u32,
 }
 
 /// The state that `/_health` and the connections of a stopping program go by.
--- a/operate/src/lib.rs
+++ b/operate/src/lib.rs
@@ -1,5 +1,7 @@
 //! What operators ask of a running coordinator, decided without I/O and clock: which call a message is ([`call`]),
-//! which data nodes are left out and until when ([`bans`]).
+//! which data nodes are left out and until when ([`bans`]), and what
+//! other settings make of those in force ([`retune`]).
 
 pub mod bans;
 pub mod call;
+pub mod retune;
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -120,6 +120,20 @@
     pub longest_advice: f64,
 }
 
+impl Deployment {
+    /// The place of a class that may be asked for. A place whose class is gone has no name.
+    pub fn place(&self, name: &str) -> Option<usize> {
+        self.class_names.iter().position(|other| other == name && !name.is_empty())
+    }
+
+    /// The classes that may be asked for, with their places and names.
+    pub fn offered(&self) -> impl Iterator<Item = (usize, &str, &Class)> {
+        let rows = self.class_names.iter().zip(&self.policy.classes).enumerate();
+        rows.map(|(place, (name, class))| (place, name.as_str(), class))
+            .filter(|(_, name, _)| !name.is_empty())
+    }
+}
+
 /// Reads the settings; the error names what is missing or wrong.
 pub fn parse(text: &[u8]) -> Result<Deployment, String> {
     let wire: Wire = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
@@ -132,6 +146,23 @@
     if let Some((key, value)) = positive.into_iter().find(|(_, value)| !(value.is_finite() && *value > 0.0)) {
         return Err(format!("settings: {key} is {value}, but must be above 0"));
     }
+    if wire.classes.is_empty() {
+        return Err("settings: classes is empty".into());
+    }
+    if wire.caps.attempts_cap == 0 {
+        return Err("settings: caps.attemptsCap is 0, but must be above 0".into());
+    }
+    for (at, class) in wire.classes.iter().enumerate() {
+        for (key, value) in [("aimS", class.aim_s), ("deadlineS", class.deadline_s)] {
+            if !(value.is_finite() && value > 0.0) {
+                return Err(format!("settings: classes[{at}].{key} is {value}, but must be above 0"));
+            }
+        }
+        let same = |other: &WireClass| other.name == class.name && !class.name.is_empty();
+        if wire.classes[..at].iter().any(same) {
+            return Err(format!("settings: classes[{at}].name '{}' is there twice", class.name));
+        }
+    }
     let extra = &wire.extra;
     let classes = wire.classes.iter().enumerate().map(|(at, class)| {
         let lacks = |key: &str| format!("settings: extra.{key} lacks class {at}");
@@ -228,6 +259,13 @@
             let text = TEXT.replace(&format!("\"{key}\""), "\"other\"");
             assert!(parse(text.as_bytes()).unwrap_err().contains(key), "{key}");
         }
+        for (key, sound) in [("aimS", "1.0"), ("deadlineS", "3.0"), ("attemptsCap", "3")] {
+            for wrong in ["0", "-5"] {
+                let text = TEXT.replace(&format!("\"{key}\": {sound}"), &format!("\"{key}\": {wrong}"));
+                assert_ne!(text, TEXT);
+                assert!(parse(text.as_bytes()).is_err(), "{key} {wrong}");
+            }
+        }
         let text = TEXT.replace("deduplicated", "sometimes");
         assert!(parse(text.as_bytes()).unwrap_err().contains("'sometimes'"));
         let text = TEXT.replace("[0.75]", "[]");
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -60,7 +60,7 @@
 }
 
 /// One class of query.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this many seconds earns the full worth.
     pub aim: f64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,6 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 mod beliefs;
+mod retune;
 
 /// A part's one copy goes out after this share of its class's aim. The design's default.
 const HEDGE_DELAY: f64 = 0.5;
@@ -209,16 +210,10 @@
 impl Aggregator {
     /// A node that knows its settings and nothing else. `seed` is its only source of chance.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let aims = || settings.classes.iter().map(|class| class.aim);
-        Aggregator {
-            noted: aims().map(|_| Time::default()).collect(),
-            usual: aims().map(|aim| aim * FIRST_GUESS).collect(),
-            shortest: aims().fold(f64::MAX, f64::min),
-            recent: RECENT_AIMS * aims().fold(0.0, f64::max),
-            random: seed,
-            settings,
-            ..Aggregator::default()
-        }
+        let mut node = Aggregator { random: seed, ..Aggregator::default() };
+        let all: Vec<ClassId> = (0..settings.classes.len() as u16).map(ClassId).collect();
+        node.retune(settings, &[], &all);
+        node
     }
 
     /// Takes all events of one tick and appends what is to be done. All outcomes are noted before any
