Test operators' calls, bans, drains, live settings and a replaced process through the program

The rig's wait for a log line has one end: with other lines coming it waited for good. The log tells the door's own address.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -206,9 +206,9 @@
     }
     tell_classes(&config.offer);
     if let Some(address) = config.admin {
-        let listener =
-            TcpListener::bind(address).await.map_err(|e| format!("admin: listen on {address}: {e}"))?;
-        tracing::info!(%address, "operators' calls are taken");
+        let fault = |cause: std::io::Error| format!("admin: listen on {address}: {cause}");
+        let listener = TcpListener::bind(address).await.map_err(fault)?;
+        tracing::info!(address = %listener.local_addr().map_err(fault)?, "operators' calls are taken");
         tokio::task::spawn_local(door::listen(listener, to_core.clone(), phase.clone()));
     }
     let core = Core::new(
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -443,6 +443,8 @@
     pub child: Child,
     pub platform: SocketAddr,
     pub opensearch: SocketAddr,
+    /// Where operators' calls are taken, with a door.
+    pub admin: Option<SocketAddr>,
     pub discovery: Discovery,
     pub stage: Arc<Stage>,
     pub folder: std::path::PathBuf,
@@ -450,6 +452,24 @@
     pub log: Mutex<Receiver<String>>,
 }
 
+/// What the platform gives beside the configuration.
+#[derive(Clone, Copy, Default)]
+pub struct Given<'a> {
+    /// A door for operators, and a folder that all processes share.
+    pub door: bool,
+    /// The clients' listening socket, inherited as descriptor 5.
+    pub socket: Option<&'a TcpListener>,
+}
+
+/// A program that has begun to listen.
+pub struct Started {
+    pub child: Child,
+    platform: SocketAddr,
+    opensearch: SocketAddr,
+    admin: Option<SocketAddr>,
+    log: Receiver<String>,
+}
+
 static RIGS: AtomicU64 = AtomicU64::new(0);
 
 impl Rig {
@@ -469,6 +489,12 @@
         Self::start_own(servers, stage, (open_cap, sockets), members, "", &[])
     }
 
+    /// With what the platform gives on the days of operation.
+    pub fn operated(stage: Arc<Stage>, given: Given) -> Rig {
+        let members = members(Wire::Platform, &stage);
+        Self::start_given(Wire::Platform, stage, (1000, 1024), members, "", &[], given)
+    }
+
     /// With more in the project's own file, and further files beside it.
     pub fn start_own(
         servers: Wire,
@@ -477,6 +503,18 @@
         members: Vec<Value>,
         more: &str,
         files: &[(&str, &str)],
+    ) -> Rig {
+        Self::start_given(servers, stage, (open_cap, sockets), members, more, files, Given::default())
+    }
+
+    fn start_given(
+        servers: Wire,
+        stage: Arc<Stage>,
+        (open_cap, sockets): (usize, usize),
+        members: Vec<Value>,
+        more: &str,
+        files: &[(&str, &str)],
+        given: Given,
     ) -> Rig {
         let discovery = Discovery::new(members);
         let number = RIGS.fetch_add(1, Ordering::Relaxed);
@@ -511,15 +549,27 @@
             std::fs::write(folder.join(name), text).unwrap();
         }
         std::fs::write(folder.join("own.toml"), own).unwrap();
-        let (child, [platform, opensearch], log) = Self::launch(&folder);
-        let rig = Rig { child, platform, opensearch, discovery, stage, folder, log: Mutex::new(log) };
+        let Started { child, platform, opensearch, admin, log } = Self::launch(&folder, given);
+        let log = Mutex::new(log);
+        let rig = Rig { child, platform, opensearch, admin, discovery, stage, folder, log };
         rig.wait_until_ready();
         rig
     }
 
-    /// Starts the program; where its two fronts listen, and its log.
-    fn launch(folder: &std::path::Path) -> (Child, [SocketAddr; 2], Receiver<String>) {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_cairnroad"))
+    /// Starts the program and waits until it listens.
+    fn launch(folder: &std::path::Path, given: Given) -> Started {
+        let program = env!("CARGO_BIN_EXE_cairnroad");
+        let mut command = Command::new(program);
+        if let Some(socket) = given.socket {
+            // A shell moves the socket from descriptor 0 to 5.
+            command = Command::new("sh");
+            command.args(["-c", "exec 5<&0 </dev/null; exec \"$0\"", program]).env("NODE_INHERITED_FD", "5");
+            command.stdin(Stdio::from(std::os::fd::OwnedFd::from(socket.try_clone().unwrap())));
+        }
+        if given.door {
+            command.env("NODE_ADMIN", "127.0.0.1:0").env("TMPDIR", folder);
+        }
+        let mut child = command
             .env("NODE_CONFIG", folder.join("config.json"))
             .env("CAIRNROAD_FILE", folder.join("own.toml"))
             .stderr(Stdio::piped())
@@ -534,17 +584,20 @@
         });
         // The program says where it listens; with port 0 nobody else knows.
         let mut bound = BTreeMap::new();
-        while bound.len() < 2 {
+        while bound.len() < 2 + usize::from(given.door) {
             let line = log.recv().expect("the program ended at its start");
             let field = |name: &str| {
                 let word = line.split(' ').find_map(|word| word.strip_prefix(name));
                 word.map(|word| word.trim_matches('"').to_string())
             };
-            if let (Some(front), Some(address)) = (field("front="), field("address=")) {
-                bound.insert(front, address.parse().unwrap());
+            if let Some(address) =
+                field("address=").filter(|_| line.contains("listening") || line.contains("calls"))
+            {
+                bound.insert(field("front=").unwrap_or("admin".into()), address.parse().unwrap());
             }
         }
-        (child, [bound["platform"], bound["opensearch"]], log)
+        let admin = bound.get("admin").copied();
+        Started { child, platform: bound["platform"], opensearch: bound["opensearch"], admin, log }
     }
 
     fn wait_until_ready(&self) {
@@ -555,12 +608,28 @@
 
     /// Starts the program again, after its end.
     pub fn restart(&mut self) {
-        let (child, [platform, opensearch], log) = Self::launch(&self.folder);
-        (self.child, self.platform, self.opensearch, self.log) =
-            (child, platform, opensearch, Mutex::new(log));
+        self.child = self.beside(Given::default());
         self.wait_until_ready();
     }
 
+    /// Starts the program again beside the running one, and turns to the newcomer.
+    pub fn replace(&mut self, given: Given) -> Child {
+        let newcomer = self.beside(given);
+        std::mem::replace(&mut self.child, newcomer)
+    }
+
+    fn beside(&mut self, given: Given) -> Child {
+        let Started { child, platform, opensearch, admin, log } = Self::launch(&self.folder, given);
+        (self.platform, self.opensearch, self.admin, self.log) =
+            (platform, opensearch, admin, Mutex::new(log));
+        child
+    }
+
+    /// An operator's call; its status.
+    pub fn operate(&self, line: &str) -> u16 {
+        self.call(self.admin.unwrap(), line, &[], "").status
+    }
+
     /// One request on a connection of its own.
     pub fn call(&self, to: SocketAddr, line: &str, fields: &[(&str, &str)], body: &str) -> Response {
         call(to, line, fields, body)
@@ -580,8 +649,7 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
-        assert!(sent.unwrap().success());
+        signal(&self.child, name);
     }
 
     /// Replaces the configuration's file and has the program reread it.
@@ -596,7 +664,10 @@
     /// Waits for a line of the log that holds these words.
     pub fn wait_for_line(&self, words: &str) {
         let log = self.log.lock().unwrap();
-        while !log.recv_timeout(Duration::from_secs(20)).expect(words).contains(words) {}
+        let end = std::time::Instant::now() + Duration::from_secs(20);
+        // Other lines that keep coming must not put the end off.
+        let left = || end.saturating_duration_since(std::time::Instant::now());
+        while !log.recv_timeout(left()).expect(words).contains(words) {}
     }
 }
 
@@ -608,6 +679,11 @@
     }
 }
 
+pub fn signal(child: &Child, name: &str) {
+    let sent = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+    assert!(sent.unwrap().success());
+}
+
 pub struct Response {
     pub status: u16,
     pub fields: BTreeMap<String, String>,
