--- a/node/tests/operation.rs
+++ b/node/tests/operation.rs
@@ -189,8 +189,9 @@
     let old = rig.replace(given);
     wait_for("the newcomer", || rig.operate("GET /v1/readyz") == 200);
     assert_eq!(rig.operate("PUT /v1/data-nodes/s-0/resume"), 200);
-    let newcomer = std::mem::replace(&mut rig.child, old);
-    signal(&newcomer, "KILL");
+    let mut newcomer = std::mem::replace(&mut rig.child, old);
+    newcomer.kill().unwrap();
+    newcomer.wait().unwrap();
     let mut names = 0..;
     wait_for("a part", || parts_at_first(&rig, &format!("d{}-", names.next().unwrap())) > told);
 }
@@ -212,7 +213,7 @@
         assert_eq!(rig.api(&format!("a{number}"), "stock-search", "2.0", &[1], "~1~").status, 200);
     }
     let mut newcomer = std::mem::replace(&mut rig.child, old);
-    signal(&newcomer, "KILL");
+    newcomer.kill().unwrap();
     newcomer.wait().unwrap();
     std::fs::write(&path, sound).unwrap();
     let mut open = BufReader::new(TcpStream::connect(rig.platform).unwrap());
@@ -306,7 +307,8 @@
     let path = rig.folder.join("config.json");
     let sound = std::fs::read(&path).unwrap();
     let calls = || rig.discovery.calls.lock().unwrap().len();
-    let broken: [(&str, fn(&mut Value)); 6] = [
+    type Spoil = fn(&mut Value);
+    let broken: [(&str, Spoil); 6] = [
         ("deadlineS is -5", |config| config["settings"]["classes"][0]["deadlineS"] = json!(-5)),
         ("aimS is 0", |config| config["settings"]["classes"][1]["aimS"] = json!(0)),
         ("attemptsCap is 0", |config| config["settings"]["caps"]["attemptsCap"] = json!(0)),
