Keep a comment of the decisions within the width, and the door's callers in a plain table

Reread with it: the door's table of callers stood in a cell that nobody else shares.

Change: the comment is worded shorter; the table is a local one. No behaviour changes.

--- a/node/src/door.rs
+++ b/node/src/door.rs
@@ -4,7 +4,7 @@
 use crate::http;
 use crate::words::{Message, Phase};
 use cairnroad_operate::call::{self, Call, Verdict};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,7 +37,7 @@
 /// Takes calls for as long as the program lives.
 pub async fn listen(listener: TcpListener, core: mpsc::Sender<Message>, phase: Rc<watch::Sender<Phase>>) {
     let door = Rc::new(Door { core, phase });
-    let callers = RefCell::new(Waiting::new());
+    let mut callers = Waiting::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -47,7 +47,6 @@
                 continue;
             }
         };
-        let mut callers = callers.borrow_mut();
         callers.retain(|(task, _)| !task.is_finished());
         // Who has said too little for longest makes room; a call that was read is carried out and answered.
         while callers.len() >= MOST_CALLERS {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,8 +46,8 @@
 const SUSPECT_RESETS: u32 = 2;
 /// Share of a cold server's stated limit that the nodes together may use; the rest is for chance.
 const COLD_MARGIN: f64 = 0.75;
-/// What a cold server earned may be kept for so long, in multiples of the window in which its limit is counted:
-/// parts of one query come together, and what is earned between two queries would be lost.
+/// What a cold server earned is kept for this share of the window in which its limit is counted: parts of one
+/// query come together, and what is earned between two queries would be lost.
 const COLD_BURST: f64 = 0.1;
 /// Over how many warm-up times the usual take of a warm server is counted.
 const TAKE_WARM_UPS: f64 = 0.5;
