Have the test of a drain tell whether idle clients are sent away or only time out

Seen: without the close of a drained coordinator's idle clients the test passed: its client had never asked, and such a one is closed after 2 s by itself.

Change: the client asks once first (it may idle for 5 s then) and must be gone 4 s after the call, as the platform wants.

Result: passes with the close (0.6 s); fails without it.

--- a/node/tests/operation.rs
+++ b/node/tests/operation.rs
@@ -118,10 +118,14 @@
 fn a_drained_coordinator_sends_clients_away_and_comes_back() {
     let rig = Rig::operated(Stage::new(|_, _, _| Act::Late(300)), DOOR);
     let health = || rig.call(rig.platform, "GET /_health", &[], "").status;
-    let idle = TcpStream::connect(rig.platform).unwrap();
+    // One that has asked once, and may idle for 5 s by itself.
+    let mut idle = BufReader::new(TcpStream::connect(rig.platform).unwrap());
+    idle.get_mut().write_all(text("idle", "stock-search").as_bytes()).unwrap();
+    assert_eq!(response(&mut idle).status, 200);
     let mut busy = BufReader::new(TcpStream::connect(rig.platform).unwrap());
     busy.get_mut().write_all(text("busy", "stock-search").as_bytes()).unwrap();
-    wait_for("the part", || !rig.stage.seen.lock().unwrap().is_empty());
+    wait_for("the part", || rig.stage.seen.lock().unwrap().len() == 2);
+    let told_at = Instant::now();
     for _ in 0..2 {
         assert_eq!(rig.operate("PUT /v1/coordinator/drain"), 200);
     }
@@ -132,7 +136,9 @@
         (200, "close"),
         "what was open is answered"
     );
-    assert_eq!(BufReader::new(idle).read(&mut [0]).unwrap(), 0, "who idles is sent away");
+    assert_eq!(idle.read(&mut [0]).unwrap(), 0, "who idles is sent away");
+    // 0.6 s after the call; the platform wants it gone after 4 s.
+    assert!(told_at.elapsed() < Duration::from_secs(4), "who idles stays too long");
     // Who comes all the same is served, and sent away.
     let mut late = BufReader::new(TcpStream::connect(rig.platform).unwrap());
     late.get_mut().write_all(text("late", "stock-search").as_bytes()).unwrap();
