Split the decisions into files by concern, and what they count by into packages

Need: one file of 949 lines held all decisions, and lost zones, pacing and words could not be tested or used alone.

--- /dev/null
+++ b/pacing/src/agenda.rs
@@ -0,0 +1,68 @@
+//! What is due when, and when to call again.
+
+use cairnroad_words::Time;
+use std::collections::BTreeSet;
+
+/// Things that are due at a moment each, and the moment for which a call was last asked.
+pub struct Agenda<D> {
+    due: BTreeSet<(Time, D)>,
+    armed: Option<Time>,
+}
+
+impl<D> Default for Agenda<D> {
+    fn default() -> Self {
+        Agenda { due: BTreeSet::new(), armed: None }
+    }
+}
+
+impl<D: Ord + Copy> Agenda<D> {
+    /// A thing is due at a moment.
+    pub fn insert(&mut self, at: Time, thing: D) {
+        self.due.insert((at, thing));
+    }
+
+    /// It is not due then after all.
+    pub fn remove(&mut self, at: Time, thing: D) {
+        self.due.remove(&(at, thing));
+    }
+
+    /// The next thing that is due by now, and since when.
+    pub fn pop(&mut self, now: Time) -> Option<(Time, D)> {
+        let first = *self.due.first().filter(|&&(at, _)| at <= now)?;
+        self.due.remove(&first);
+        Some(first)
+    }
+
+    /// The moment to call again, where no call was asked for that comes as soon.
+    pub fn wake(&mut self, now: Time) -> Option<Time> {
+        let &(at, _) = self.due.first()?;
+        if self.armed.is_some_and(|armed| armed > now && armed <= at) {
+            return None;
+        }
+        self.armed = Some(at);
+        Some(at)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_due_comes_in_its_order_and_calls_are_asked_for_once() {
+        let at = Time::from_secs;
+        let mut agenda = Agenda::default();
+        assert_eq!(agenda.wake(at(0.0)), None);
+        agenda.insert(at(3.0), 'c');
+        agenda.insert(at(1.0), 'a');
+        agenda.insert(at(2.0), 'b');
+        agenda.remove(at(2.0), 'b');
+        assert_eq!((agenda.wake(at(0.0)), agenda.wake(at(0.5))), (Some(at(1.0)), None));
+        assert_eq!((agenda.pop(at(0.9)), agenda.pop(at(1.1))), (None, Some((at(1.0), 'a'))));
+        assert_eq!((agenda.pop(at(1.1)), agenda.wake(at(1.1))), (None, Some(at(3.0))));
+        agenda.insert(at(4.0), 'd');
+        assert_eq!(agenda.wake(at(1.2)), None, "the call for 3 s comes first");
+        agenda.insert(at(2.0), 'e');
+        assert_eq!(agenda.wake(at(1.2)), Some(at(2.0)));
+    }
+}
--- /dev/null
+++ b/pacing/src/budget.rs
@@ -0,0 +1,57 @@
+//! The stated limit on attempts beyond each part's first, counted.
+
+use crate::Window;
+use cairnroad_words::{AttemptBudget, Time};
+
+/// What was taken and what was sent again within the limit's window. Where no limit is stated nobody counts, and
+/// nothing piles up.
+#[derive(Default)]
+pub struct Budget {
+    taken: Window,
+    further: Window,
+}
+
+impl Budget {
+    /// A query or a part was taken.
+    pub fn took(&mut self, now: Time, stated: Option<AttemptBudget>) {
+        if let Some(stated) = stated {
+            self.taken.push(now, stated.window);
+        }
+    }
+
+    /// A part was sent again.
+    pub fn repeated(&mut self, now: Time, stated: Option<AttemptBudget>) {
+        if let Some(stated) = stated {
+            self.further.push(now, 2.0 * stated.window);
+        }
+    }
+
+    /// Further attempts that are allowed now, whoever's clock is off by `margin` seconds.
+    pub fn left(&self, now: Time, stated: Option<AttemptBudget>, margin: f64) -> f64 {
+        let Some(stated) = stated else { return f64::MAX };
+        stated.free + stated.share * self.taken.count(now, stated.window - margin)
+            - self.further.count(now, stated.window + margin)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_taken_earns_further_attempts_within_the_window() {
+        let stated = Some(AttemptBudget { free: 1.0, share: 0.1, window: 10.0 });
+        let at = Time::from_secs;
+        let mut budget = Budget::default();
+        (0..20).for_each(|_| budget.took(at(1.0), stated));
+        budget.repeated(at(2.0), stated);
+        assert_eq!(budget.left(at(2.0), stated, 0.1), 2.0);
+        assert_eq!(
+            budget.left(at(11.0), stated, 0.1),
+            0.0,
+            "what was taken is over, what was repeated is not"
+        );
+        assert_eq!(budget.left(at(12.2), stated, 0.1), 1.0);
+        assert_eq!(budget.left(at(2.0), None, 0.1), f64::MAX);
+    }
+}
--- a/src/pacing.rs
+++ b/pacing/src/lib.rs
@@ -1,6 +1,18 @@
-//! How often servers are probed and the list is asked for: rations and gaps, without a clock.
+//! What the decisions count by: what is due when, windows, rations and gaps of probes and list calls, the budget of
+//! attempts, turns by weight, what servers take, and chance. It has no clock and decides nothing about a query.
 
-use crate::interface::Outcome;
+mod agenda;
+mod budget;
+mod take;
+mod turns;
+mod window;
+
+pub use agenda::Agenda;
+pub use budget::Budget;
+use cairnroad_words::Outcome;
+pub use take::Take;
+pub use turns::owed;
+pub use window::Window;
 
 /// Probes earned by each part sent, saved up to one a server: one bad server found, all can be looked at.
 const PROBE_SHARE: f64 = 0.3;
@@ -13,12 +25,28 @@
 /// Doublings of that back-off.
 const MOST_DOUBLINGS: u32 = 3;
 
+/// A node's only source of chance, from its seed on (splitmix64).
+#[derive(Default)]
+pub struct Chance(pub u64);
+
+impl Chance {
+    /// The next number, from 0 to under 1.
+    #[allow(clippy::should_implement_trait)] // it never ends, and is no iterator
+    pub fn next(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut x = self.0;
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
 /// The ration of probes, and what is typical among their answers.
-pub(crate) struct Probing {
+pub struct Probing {
     earned: f64,
     typical: f64,
     /// Whether one is due.
-    pub(crate) armed: bool,
+    pub armed: bool,
 }
 
 impl Default for Probing {
@@ -29,24 +57,24 @@
 
 impl Probing {
     /// A part was sent; `most` probes can be saved up.
-    pub(crate) fn earn(&mut self, most: f64) {
+    pub fn earn(&mut self, most: f64) {
         self.earned = (self.earned + PROBE_SHARE).min(most);
     }
 
     /// Takes one probe off the ration, if it has one.
-    pub(crate) fn take(&mut self) -> bool {
+    pub fn take(&mut self) -> bool {
         let enough = self.earned >= 1.0;
         self.earned -= if enough { 1.0 } else { 0.0 };
         enough
     }
 
     /// Seconds to the next probe, by chance.
-    pub(crate) fn gap(shortest_aim: f64, chance: f64) -> f64 {
+    pub fn gap(shortest_aim: f64, chance: f64) -> f64 {
         shortest_aim * PROBE_GAP * 2.0 * chance
     }
 
     /// What a probe makes of a server, as a multiple of what is typical; `worst` where it failed.
-    pub(crate) fn hint(&mut self, outcome: Outcome, held: Option<f64>, worst: f64) -> Option<f64> {
+    pub fn hint(&mut self, outcome: Outcome, held: Option<f64>, worst: f64) -> Option<f64> {
         match (outcome, held.filter(|held| held.is_finite())) {
             (Outcome::Ok, Some(held)) => {
                 self.typical *= (TYPICAL_GAIN * (held - self.typical).signum()).exp();
@@ -60,18 +88,20 @@
 
 /// Whether changes of the list are coming, and how long to wait where they are not.
 #[derive(Default)]
-pub(crate) struct Asking {
+pub struct Asking {
     failures: u32,
-    pub(crate) subscribed: bool,
+    /// Whether changes are coming.
+    pub subscribed: bool,
 }
 
 impl Asking {
-    pub(crate) fn told(&mut self) {
+    /// The list came.
+    pub fn told(&mut self) {
         *self = Asking { failures: 0, subscribed: true };
     }
 
     /// Seconds to wait after a failure: doubling, by chance, so that many nodes don't ask together.
-    pub(crate) fn failed(&mut self, must_ask: f64, chance: f64) -> f64 {
+    pub fn failed(&mut self, must_ask: f64, chance: f64) -> f64 {
         let doublings = self.failures.min(MOST_DOUBLINGS);
         *self = Asking { failures: self.failures.saturating_add(1), subscribed: false };
         must_ask * ASK_AGAIN * f64::from(1u32 << doublings) * (0.5 + chance)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,11 +41,7 @@
 
 #![forbid(unsafe_code)]
 
-mod interface;
-mod logic;
-mod pacing;
-mod window;
-mod zones;
+mod policy;
 
-pub use interface::*;
-pub use logic::Aggregator;
+pub use cairnroad_words::*;
+pub use policy::Aggregator;
--- a/src/logic/beliefs.rs
+++ b/src/policy/beliefs.rs
@@ -1,7 +1,7 @@
 //! What the decisions believe, told for the log. Nothing here decides.
 
 use super::Aggregator;
-use crate::interface::{Beliefs, Time};
+use cairnroad_words::{Beliefs, Time};
 
 impl Aggregator {
     /// How many servers are known.
--- /dev/null
+++ b/src/policy/cold.rs
@@ -0,0 +1,44 @@
+//! What a server that has just started may be sent.
+
+use super::*;
+
+/// Share of a cold server's stated limit that the nodes together may use; the rest is for chance.
+const COLD_MARGIN: f64 = 0.75;
+/// What a cold server earned is kept for this share of the window in which its limit is counted: parts of one
+/// query come together, and what is earned between two queries would be lost.
+const COLD_BURST: f64 = 0.1;
+
+impl Aggregator {
+    /// The cold guard. A server that has just started earns parts at the stated multiple of its guaranteed
+    /// capacity, taken to be what warm servers answer this node, its share of what they do for all. Fractions
+    /// are carried over and begin at chance, so that sparse nodes send theirs, and not in step.
+    pub(super) fn cold_room(&mut self, now: Time, id: ServerId) -> bool {
+        self.note_take(now);
+        let s = &self.settings;
+        let Some(server) = self.servers.get_mut(&id) else { return false };
+        let Some(age) = server.ready_at.map(|at| (now - at).max(0.0)).filter(|&age| age < s.warm_up) else {
+            return true;
+        };
+        let ramp = s.cold_from + (1.0 - s.cold_from) * (age - s.fall_window / 2.0).max(0.0) / s.warm_up;
+        let earned = COLD_MARGIN * s.fall_multiple * ramp * self.take.best * server.size;
+        let (earlier, at) = server.earned;
+        let most = (earned * s.fall_window * COLD_BURST).max(1.0);
+        server.earned = ((earlier + earned * (now - at)).min(most), now);
+        server.earned.0 >= 1.0
+    }
+
+    /// Notes once a tick what a warm server of size 1 answers this node a second.
+    fn note_take(&mut self, now: Time) {
+        if !self.take.is_due(now) {
+            return;
+        }
+        let span = self.settings.warm_up * TAKE_WARM_UPS;
+        let seen = span.min(self.born.map_or(0.0, |at| now - at)).max(self.settings.fall_window);
+        let warm_up = self.settings.warm_up;
+        let warm = |s: &&mut Server| {
+            s.state == ServerState::Ready && s.ready_at.is_none_or(|at| now - at >= warm_up)
+        };
+        let counts = self.servers.values_mut().filter(warm).map(|s| (s.answers.count(now, span), s.size));
+        self.take.note(counts, seen);
+    }
+}
--- /dev/null
+++ b/src/policy/end.rs
@@ -0,0 +1,109 @@
+//! How a query ends: whole, partial, refused or failed, once.
+
+use super::*;
+
+/// A query refused before its aim may come again after this share of what is left of it.
+const ADVICE: f64 = 0.25;
+
+impl Aggregator {
+    /// Weight that is in, and weight that is in or may still come.
+    pub(super) fn weights(&mut self, now: Time, id: RequestId) -> (f64, f64) {
+        let Some(parts) = self.queries.get(&id).map(|q| q.parts.clone()) else { return (0.0, 0.0) };
+        let (mut done, mut possible) = (0.0, 0.0);
+        for id in parts {
+            let Some(part) = self.parts.get(&id) else { continue };
+            let (answered, weight, sent) = (part.answered, part.weight, part.first_sent.is_some());
+            let live = answered || !part.out.is_empty() || (sent && self.may_repeat(now, id));
+            done += if answered { weight } else { 0.0 };
+            possible += if live { weight } else { 0.0 };
+        }
+        (done + WEIGHT_SLACK, possible + WEIGHT_SLACK)
+    }
+
+    /// Ends the step as soon as its parts decide it: whole, hopeless, or partial with nothing left to come.
+    pub(super) fn settle(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        let (done, possible) = self.weights(now, id);
+        let Some(query) = self.queries.get(&id) else { return };
+        let (need, floor) = self.settings.classes[query.class].bars(query.second_step);
+        let whole = query.first_whole || !query.second_step;
+        if done >= need {
+            self.answer(now, id, whole, actions);
+        } else if possible < floor {
+            self.give_up(now, id, actions);
+        } else if possible < need && done >= floor && possible - done < WEIGHT_SLACK {
+            self.answer(now, id, false, actions);
+        }
+    }
+
+    pub(super) fn aim_passed(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        let (done, _) = self.weights(now, id);
+        let Some(query) = self.queries.get(&id) else { return };
+        let Some(class) = self.settings.classes.get(query.class) else { return };
+        let (_, floor) = class.bars(query.second_step);
+        if done >= floor && class.partial * done.min(class.need) / class.need >= class.late_share {
+            self.answer(now, id, false, actions);
+        } else if class.late_share <= 0.0 {
+            self.give_up(now, id, actions);
+        }
+    }
+
+    pub(super) fn answer(&mut self, now: Time, id: RequestId, whole: bool, actions: &mut Vec<Action>) {
+        let Some(query) = self.queries.get_mut(&id) else { return };
+        let step_follows = !query.second_step && self.settings.classes[query.class].fetch > 0;
+        actions.push(Action::Answer { query: id, whole });
+        if step_follows {
+            query.second_step = true;
+            query.first_whole = whole;
+            let parts = std::mem::take(&mut query.parts);
+            self.drop_parts(now, parts, actions);
+        } else {
+            self.forget(now, id, actions);
+        }
+    }
+
+    /// The final answer for a query that earns nothing more, given at once: a refusal with advice where
+    /// trying again is harmless, else a failure.
+    pub(super) fn give_up(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(query) = self.queries.get(&id) else { return };
+        let may_run = |part: &Part| part.may_have_run || part.answered || !part.out.is_empty();
+        let ran = query.second_step || query.parts.iter().any(|p| self.parts.get(p).is_some_and(may_run));
+        let effect = self.settings.classes.get(query.class).map_or(Effect::Unsafe, |c| c.effect);
+        let harmless = effect == Effect::Safe || !ran;
+        // While its aim stands a query may come again within it; after that, as late as clients heed.
+        let left = query.aim_at - now;
+        let within = if left > 0.0 { left * ADVICE } else { f64::MAX };
+        let retry_after = self.settings.retry_after.map(|longest| longest.min(within));
+        actions.push(match harmless {
+            true => Action::Refuse { query: id, retry_after },
+            false => Action::Fail { query: id },
+        });
+        self.forget(now, id, actions);
+    }
+
+    pub(super) fn forget(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(query) = self.queries.remove(&id) else { return };
+        if self.numbers.get(&query.number) == Some(&id) {
+            self.numbers.remove(&query.number);
+        }
+        self.agenda.remove(query.aim_at, Due::Aim(id));
+        self.agenda.remove(query.end_at, Due::End(id));
+        self.drop_parts(now, query.parts, actions);
+    }
+
+    /// Forgets parts and cancels what they still have out.
+    pub(super) fn drop_parts(&mut self, now: Time, parts: Vec<RequestId>, actions: &mut Vec<Action>) {
+        for id in parts {
+            let Some(part) = self.parts.remove(&id) else { continue };
+            for attempt in part.out {
+                self.cancel(now, id, attempt, actions);
+            }
+        }
+    }
+
+    pub(super) fn cancel(&mut self, now: Time, id: RequestId, attempt: u8, actions: &mut Vec<Action>) {
+        if let Some(flight) = self.settings.cancel.then(|| self.land(id, attempt)).flatten() {
+            self.judge(now, &flight, Outcome::Cancelled);
+            actions.push(Action::Cancel { part: id, attempt });
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/list.rs
@@ -0,0 +1,76 @@
+//! What the list of servers says.
+
+use super::*;
+
+impl Aggregator {
+    /// Forgets the servers that are gone and have nothing out: on a long day they are replaced without end.
+    pub(super) fn forget_gone(&mut self) {
+        let cells = &mut self.cells;
+        self.servers.retain(|id, server| {
+            let known = server.state != ServerState::Gone || !server.out.is_empty();
+            if !known {
+                cells.entry(server.cell).or_default().remove(id);
+            }
+            known
+        });
+    }
+
+    /// A server missing from a whole list is gone; an empty list is no news.
+    pub(super) fn note_list(&mut self, now: Time, news: &ListNews) {
+        let rows = match news {
+            ListNews::Failed => {
+                let chance = self.chance.next();
+                let wait = self.asking.failed(self.settings.must_ask.unwrap_or(0.0), chance);
+                self.agenda.insert(now + wait, Due::Ask);
+                return;
+            }
+            ListNews::Full(rows) | ListNews::Cached(rows) | ListNews::Delta(rows) => rows,
+        };
+        if !matches!(news, ListNews::Cached(_)) {
+            self.asking.told();
+        }
+        if matches!(news, ListNews::Full(_)) && !rows.is_empty() {
+            let listed: BTreeSet<ServerId> = rows.iter().map(|row| row.server).collect();
+            for (id, server) in &mut self.servers {
+                if !listed.contains(id) {
+                    server.state = ServerState::Gone;
+                }
+            }
+        }
+        for row in rows {
+            let (turn, earned) = (-((self.chance.next() * 1e6) as i64) - 1, (self.chance.next(), now));
+            let server = self.servers.entry(row.server).or_insert_with(|| Server {
+                turn,
+                pace: 1.0,
+                hint: 1.0,
+                judged: now,
+                last_sent: now,
+                wait: (0.0, now),
+                ready_at: row.ready_at,
+                earned,
+                ..Server::default()
+            });
+            self.cells.entry(server.cell).or_default().remove(&row.server);
+            self.cells.entry(row.cell).or_default().insert(row.server);
+            if row.ready_at.is_some_and(|at| server.ready_at.is_none_or(|old| at > old)) {
+                (server.pace, server.hint, server.earned) = (1.0, 1.0, earned);
+            }
+            (server.state, server.zone) = (row.state, row.zone);
+            server.ready_at = row.ready_at;
+            if server.cell != row.cell || server.generation == 0 {
+                server.generation = row.generation;
+            }
+            server.cell = row.cell;
+            self.generation = self.generation.max(row.generation);
+            server.weight = if row.weight >= 0.0 && row.weight.is_finite() { row.weight } else { 1.0 };
+            server.size = if row.size > 0.0 && row.size.is_finite() { row.size } else { 1.0 };
+        }
+    }
+
+    /// Asks to be told of changes, and again if nothing at all comes back.
+    pub(super) fn ask(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let Some(must_ask) = self.settings.must_ask.filter(|_| !self.asking.subscribed) else { return };
+        actions.push(Action::Subscribe);
+        self.agenda.insert(now + must_ask / 2.0, Due::Ask);
+    }
+}
--- a/src/interface.rs
+++ b/words/src/lib.rs
@@ -86,6 +86,23 @@
     pub fetch: u32,
 }
 
+impl Class {
+    /// Seconds within which an answer to a query of so many seconds of work, if that is told, earns the full worth.
+    pub fn aim_for(&self, work: Option<f64>) -> f64 {
+        let work = work.filter(|work| work.is_finite()).unwrap_or(0.0).max(0.0);
+        (self.aim + self.aim_stretch * work).min(self.deadline)
+    }
+
+    /// Least weights for a whole and for any answer in one of the two steps.
+    pub fn bars(&self, second_step: bool) -> (f64, f64) {
+        match (second_step, self.floor < self.need) {
+            (false, _) => (self.need, self.floor.min(self.need)),
+            (true, true) => (1.0, self.floor),
+            (true, false) => (1.0, 1.0),
+        }
+    }
+}
+
 /// A stated limit on attempts beyond each part's first.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptBudget {
--- a/src/zones.rs
+++ b/zones/src/lib.rs
@@ -4,7 +4,7 @@
 //! lost whole: a few servers of one zone that keep what was sent to them, while none of that zone answers anything
 //! newer and others elsewhere do, tell of all of it.
 
-use crate::interface::Time;
+use cairnroad_words::Time;
 use std::collections::BTreeMap;
 
 /// A zone is lost once so many of its servers are silent. One alone may be ill.
@@ -14,13 +14,13 @@
 
 /// What is known of one server.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Sighting {
+pub struct Sighting {
     /// Its zone; 0 where none is told, of which nothing follows.
-    pub(crate) zone: u32,
+    pub zone: u32,
     /// The latest send that it answered.
-    pub(crate) answered: Time,
+    pub answered: Time,
     /// The first send since it was last heard of that has had no answer in time, if there is one.
-    pub(crate) kept: Option<Time>,
+    pub kept: Option<Time>,
 }
 
 /// What is added up for one zone.
@@ -33,11 +33,11 @@
 
 /// The lost zones, and when each was found lost.
 #[derive(Default)]
-pub(crate) struct Zones(BTreeMap<u32, Time>);
+pub struct Zones(BTreeMap<u32, Time>);
 
 impl Zones {
     /// The zones that these sightings show to be lost, and that were not known to be.
-    pub(crate) fn lost(&mut self, now: Time, sightings: &[Sighting]) -> Vec<u32> {
+    pub fn lost(&mut self, now: Time, sightings: &[Sighting]) -> Vec<u32> {
         let mut zones: BTreeMap<u32, Zone> = BTreeMap::new();
         for sighting in sightings.iter().filter(|sighting| sighting.zone != 0) {
             let zone = zones.entry(sighting.zone).or_default();
@@ -60,7 +60,7 @@
     }
 
     /// A server of this zone was heard: for how many seconds the zone was lost, if it was.
-    pub(crate) fn found(&mut self, now: Time, zone: u32) -> Option<f64> {
+    pub fn found(&mut self, now: Time, zone: u32) -> Option<f64> {
         self.0.remove(&zone).map(|since| now - since)
     }
 }
