Decide watches and stops in one place each; begin silent watches anew with a proof

Seen: a second silent connection was waited out in full, 3 s each, so news came 6.99 s after the silence began; the end after SIGTERM waited for requests that had come whole only, so one that came in part was reset. Ruled out: pipelined requests and requests under load, whose answers come whole before and after (tests kept as they pass both). Change: package watch decides what is asked, when a watch is broken, the rest before the next try and what then counts as told; a watch that broke is begun with a call that is answered at once (0.1 s), and errors of a watch are types with help. operate::stop decides the steps of a stop; the rest of a half-sent request is waited for 0.3 s, else refused with 503; no request is open longer than to 0.1 s before the kill.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,5 +1,6 @@
 //! The list of servers: the agent's wire form, and the watch that keeps it fresh.
 
+use crate::clock::Clock;
 use crate::contract::{Contracts, Part};
 use crate::http;
 use crate::members::Page;
@@ -7,6 +8,7 @@
 use cairnroad::{ListNews, Listed, ServerId, ServerState};
 use cairnroad_contract::drift::Interface;
 use cairnroad_contract::schema::Direction;
+use cairnroad_watch::{Ask, Call, Fault, Watch, DIAL};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -17,14 +19,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 
-/// How long one watch call may wait. Short, so that a watch whose answer was lost is soon renewed.
-const HOLD_MS: u64 = 2_000;
-/// How long after that the agent is taken to be silent.
-const SILENCE: Duration = Duration::from_millis(HOLD_MS + 1_000);
-/// How long the first list may take.
-const FIRST: Duration = Duration::from_millis(1_000);
-/// Pause before a new connection after a fault. Well under the 200 ms within which a watch goes on.
-const PAUSE: Duration = Duration::from_millis(50);
 /// The largest list that is read.
 const MOST_LIST: usize = 1024 * 1024;
 
@@ -101,24 +95,24 @@
 }
 
 /// Watches the agent for good and tells the core what it says. A new address drops the call that is held at the
-/// old one, or the pause before the next: the old agent may say nothing more, and another agent's revisions are
+/// old one, or the rest before the next: the old agent may say nothing more, and another agent's revisions are
 /// its own, so the watch starts over there with the whole list.
 pub async fn watch(
     mut agents: watch::Receiver<SocketAddr>,
     core: mpsc::Sender<Message>,
     contracts: Rc<Contracts>,
+    clock: Clock,
 ) {
-    let mut revision = None;
-    let mut faults = 0u32;
+    let mut watch = Watch::new(clock.now());
     loop {
         let agent = *agents.borrow_and_update();
         let moved = tokio::select! {
             biased;
             Ok(()) = agents.changed() => true,
-            () = follow_on(agent, &core, &contracts, &mut revision, &mut faults) => false,
+            () = follow_on(agent, &core, &contracts, &clock, &mut watch) => false,
         };
         if moved {
-            (revision, faults) = (None, 0);
+            watch.moved(clock.now());
         }
         if core.is_closed() {
             return;
@@ -126,20 +120,24 @@
     }
 }
 
-/// One connection, and the pause after it.
+/// One connection, and the rest after it.
 async fn follow_on(
     agent: SocketAddr,
     core: &mpsc::Sender<Message>,
     contracts: &Contracts,
-    revision: &mut Option<u64>,
-    faults: &mut u32,
+    clock: &Clock,
+    watch: &mut Watch,
 ) {
-    if let Err(text) = follow(agent, core, contracts, revision, faults).await {
-        *faults += 1;
-        tracing::warn!(server = %agent, cause = %text, "discovery: the watch starts over");
-    }
-    // A first fault is tried again at once: the watch must go on within 200 ms.
-    tokio::time::sleep(PAUSE * (*faults).min(10)).await;
+    let rest = match follow(agent, core, contracts, clock, watch).await {
+        Ok(()) => watch.parted(),
+        Err(fault) => {
+            let rest = watch.broke(&fault);
+            let (faults, help) = (watch.faults(), fault.help());
+            tracing::warn!(server = %agent, cause = %fault, faults, help, "discovery: the watch is begun anew");
+            rest
+        }
+    };
+    tokio::time::sleep(Duration::from_secs_f64(rest)).await;
 }
 
 /// One connection's life: call after call, each started as soon as the last answer is read.
@@ -147,17 +145,20 @@
     agent: SocketAddr,
     core: &mpsc::Sender<Message>,
     contracts: &Contracts,
-    revision: &mut Option<u64>,
-    faults: &mut u32,
-) -> Result<(), String> {
-    let connect = tokio::time::timeout(FIRST, TcpStream::connect(agent));
-    let mut stream = connect.await.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
+    clock: &Clock,
+    watch: &mut Watch,
+) -> Result<(), Fault> {
+    let connect = tokio::time::timeout(Duration::from_secs_f64(DIAL), TcpStream::connect(agent));
+    let mut stream = connect.await.map_err(|_| Fault::NoConnection { secs: DIAL })??;
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
     loop {
-        let (target, patience) = match revision {
-            None => ("/catalog/members".to_string(), FIRST),
-            Some(from) => (format!("/catalog/members?from={from}&hold_ms={HOLD_MS}"), SILENCE),
+        let Ask { call, patience } = watch.ask();
+        let target = match call {
+            Call::Whole => "/catalog/members".to_string(),
+            Call::Since { revision, hold_ms } => {
+                format!("/catalog/members?from={revision}&hold_ms={hold_ms}")
+            }
         };
         let judge = contracts.current();
         let party: Arc<str> = "agent".into();
@@ -165,20 +166,20 @@
         let asked = || target.clone();
         contracts.frame(&judge, Interface::Discovery, &party, ask, asked, ask_head);
         let call = format!("GET {target} HTTP/1.1\r\nHost: {agent}\r\n\r\n");
-        let answer = tokio::time::timeout(patience, exchange(&mut stream, &call, &mut buffer));
-        let answer = answer.await.map_err(|_| "the agent is silent")??;
+        let patience = Duration::from_secs_f64(patience);
+        let answer = tokio::time::timeout(patience, exchange(&mut stream, &call, &mut buffer)).await;
+        let answer = answer.map_err(|_| Fault::Silent { secs: patience.as_secs_f64() })??;
         if answer.status != 200 {
-            // A watch from a version that the agent no longer knows starts over with the whole list.
-            *revision = None;
-            return Err(format!("the agent answered {}", answer.status));
+            return Err(Fault::Status(answer.status));
         }
         let payload = &answer.body;
         let list = Part { channel: "watch", word: "list", direction: Direction::Answer, payload };
         contracts.frame(&judge, Interface::Discovery, &party, list, String::new, |_| json!({}));
-        let page: Page = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
+        let page: Page = serde_json::from_slice(&answer.body).map_err(|e| Fault::NoList(e.to_string()))?;
         let news = page.news();
-        *revision = Some(news.revision);
-        *faults = 0;
+        if watch.answered(clock.now(), news.revision) {
+            tracing::warn!(server = %agent, "discovery: the list came after it counted as told");
+        }
         if core.send(Message::News(news)).await.is_err() || answer.close {
             return Ok(());
         }
@@ -193,20 +194,16 @@
     Value::Object(pairs.map(number).collect())
 }
 
-async fn exchange(
-    stream: &mut TcpStream,
-    call: &str,
-    buffer: &mut Vec<u8>,
-) -> Result<http::Response, String> {
-    stream.write_all(call.as_bytes()).await.map_err(|e| e.to_string())?;
+async fn exchange(stream: &mut TcpStream, call: &str, buffer: &mut Vec<u8>) -> Result<http::Response, Fault> {
+    stream.write_all(call.as_bytes()).await?;
     loop {
-        let read = stream.read_buf(buffer).await.map_err(|e| e.to_string())?;
-        match http::response(buffer, read == 0, MOST_LIST).map_err(|bad| bad.text())? {
+        let read = stream.read_buf(buffer).await?;
+        match http::response(buffer, read == 0, MOST_LIST).map_err(|bad| Fault::Unreadable(bad.text()))? {
             Some((response, used)) => {
                 buffer.drain(..used);
                 return Ok(response);
             }
-            None if read == 0 => return Err("the agent closed the connection".into()),
+            None if read == 0 => return Err(Fault::Closed),
             None => {}
         }
     }
--- a/node/src/door.rs
+++ b/node/src/door.rs
@@ -118,7 +118,9 @@
                 Phase::Serving => Verdict::Yes,
                 Phase::Starting => Verdict::NotNow("not ready yet: the list of data nodes has not come"),
                 Phase::Drained => Verdict::NotNow("drained: activate the coordinator first"),
-                Phase::Stopping | Phase::Closing => Verdict::NotNow("the process was told to stop"),
+                Phase::Stopping | Phase::Closing | Phase::Refusing => {
+                    Verdict::NotNow("the process was told to stop")
+                }
             };
         }
         let (reply, verdict) = oneshot::channel();
--- a/node/src/fronts/exchange.rs
+++ b/node/src/fronts/exchange.rs
@@ -90,6 +90,7 @@
     pub async fn ask(&mut self, requests: Vec<Request>) -> Result<Vec<Answer>, ()> {
         let handed = requests.into_iter().map(|mut request| {
             request.judge = self.judge.clone();
+            request.due = self.front.places.due(request.due);
             intake::hand_over(&self.front.core, request)
         });
         let waiting: Vec<_> = handed.collect();
--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -85,8 +85,13 @@
             Ok(Some(request)) => request,
             Ok(None) => return,
             Err(bad) => {
-                let reply = refusal_of(front, bad.status(), bad.text());
+                place.refuses();
+                let mut reply = refusal_of(front, bad.status(), bad.text());
+                if bad == http::Bad::Ending {
+                    reply = reply.with("Retry-After", "1".into());
+                }
                 let _ = write(&mut stream, reply, true).await;
+                place.answered();
                 return linger(front, &mut stream, &place).await;
             }
         };
@@ -126,8 +131,9 @@
             return linger(front, &mut stream, &place).await;
         }
         if close {
-            // Closing with bytes unread would reset the connection under the answer.
-            if crowded || !buffer.is_empty() {
+            // Closing with bytes unread would reset the connection under the answer. A client that didn't ask for the
+            // end may have sent more.
+            if !asked_to_close || !buffer.is_empty() {
                 linger(front, &mut stream, &place).await;
             }
             return;
@@ -153,7 +159,7 @@
 }
 
 fn stopping(phase: Phase) -> bool {
-    matches!(phase, Phase::Drained | Phase::Stopping | Phase::Closing)
+    matches!(phase, Phase::Drained | Phase::Stopping | Phase::Closing | Phase::Refusing)
 }
 
 /// The connection's next request; `None` at its end, or where it idles too long, its place is needed or the
@@ -165,7 +171,7 @@
     place: &Place,
     first: Option<Instant>,
 ) -> Result<Option<http::Request>, http::Bad> {
-    let mut phase = front.phase.clone();
+    let (mut phase, mut last_phase) = (front.phase.clone(), front.phase.clone());
     let mut continued = false;
     let (mut begun, rest) = (None, Instant::now() + IDLE);
     loop {
@@ -189,12 +195,17 @@
         }
         // A connection that came late in the closing gets the time for its request to follow.
         let closing = async {
-            let ends = phase.wait_for(|phase| matches!(phase, Phase::Drained | Phase::Closing)).await;
+            let ends = phase.wait_for(|phase| stopping(*phase) && *phase != Phase::Stopping).await;
             if ends.is_ok_and(|phase| *phase == Phase::Drained) {
                 tokio::time::sleep(DRAINED_IDLE).await;
             }
             tokio::time::sleep(LAST_GRACE).await;
         };
+        let ending = async {
+            if last_phase.wait_for(|phase| *phase == Phase::Refusing).await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
         // From its first byte on a request has one span for all of it: bytes that trickle in don't renew it.
         let end = first.unwrap_or_else(|| match idle {
             true => rest,
@@ -207,6 +218,7 @@
                 Ok(_) => {}
             },
             () = closing, if idle => return Ok(None),
+            () = ending, if !idle => return Err(http::Bad::Ending),
             () = tokio::time::sleep_until(end) => match idle {
                 true => return Ok(None),
                 false => return Err(http::Bad::TooSlow),
--- a/node/src/fronts/places.rs
+++ b/node/src/fronts/places.rs
@@ -2,6 +2,7 @@
 //! place is needed, so that clients who ask nothing don't keep out those who do.
 
 use cairnroad::Time;
+use cairnroad_operate::stop::Seen;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -22,6 +23,8 @@
     /// Requests that came in and aren't answered, and when the last one came.
     serving: Cell<usize>,
     last_asked: Cell<Time>,
+    /// The moment by which all is answered, once the program was told to stop.
+    answered_by: Cell<Option<Time>>,
     next: Cell<u64>,
     idle: RefCell<Idle>,
 }
@@ -38,12 +41,20 @@
         self.open.get()
     }
 
-    pub fn serving(&self) -> usize {
-        self.serving.get()
+    /// Connections that stand in the middle of a request, and what else a stop goes by.
+    pub fn seen(&self) -> Seen {
+        let (last_asked, serving) = (self.last_asked.get(), self.serving.get());
+        Seen { last_asked, coming_in: self.busy().saturating_sub(serving), serving }
     }
 
-    pub fn last_asked(&self) -> Time {
-        self.last_asked.get()
+    /// From now on no request gets longer than up to this moment.
+    pub fn answer_by(&self, moment: Time) {
+        self.answered_by.set(Some(moment));
+    }
+
+    /// When a request that is due then has to have its answer.
+    pub fn due(&self, due: Time) -> Time {
+        self.answered_by.get().map_or(due, |end| end.min(due))
     }
 
     /// Connections that have a request open or coming in.
@@ -93,6 +104,11 @@
         self.used.set(true);
         self.busy();
         self.places.last_asked.set(now);
+        self.refuses();
+    }
+
+    /// An answer is owed, be it a refusal of what came in part.
+    pub fn refuses(&self) {
         if !self.serving.replace(true) {
             self.places.serving.set(self.places.serving.get() + 1);
         }
@@ -151,9 +167,9 @@
         held[2].busy();
         held[2].idle(at(10.0));
         held[1].asked(at(9.9));
-        assert_eq!((places.serving(), places.last_asked()), (1, at(9.9)));
+        assert_eq!((places.seen().serving, places.seen().last_asked), (1, at(9.9)));
         held[1].answered();
-        assert_eq!(places.serving(), 0);
+        assert_eq!(places.seen().serving, 0);
         held[1].idle(at(10.0));
         assert_eq!((left(10.04), left(10.06)), (vec![1, 2], vec![2]));
         held[1].busy();
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -24,6 +24,8 @@
     BodyTooLarge,
     /// It did not come in within its time.
     TooSlow,
+    /// It had not come in when the program had to end.
+    Ending,
 }
 
 impl Bad {
@@ -34,6 +36,7 @@
             Bad::HeadTooLarge => 431,
             Bad::BodyTooLarge => 413,
             Bad::TooSlow => 408,
+            Bad::Ending => 503,
         }
     }
     pub fn text(self) -> &'static str {
@@ -42,6 +45,7 @@
             Bad::HeadTooLarge => "the head is too large",
             Bad::BodyTooLarge => "the body is too large",
             Bad::TooSlow => "the request did not come in time",
+            Bad::Ending => "this process ends: send the request again on a new connection",
         }
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -27,6 +27,7 @@
 mod wheel;
 mod words;
 
+use cairnroad_operate::stop::{Step, Stop};
 use clap::Parser;
 use clock::Clock;
 use contract::Contracts;
@@ -45,14 +46,8 @@
 
 /// Messages from connections and discovery that may wait for the core's next tick.
 const MESSAGES: usize = 4096;
-/// After the order to stop: when idle connections are closed, when nobody is accepted any more at the earliest and
-/// at the latest, and for how long no request may have come before that. New connections come for up to 0.4 s, and
-/// clients use the ones they have. Those who go on coming must not hold the end up: the program is killed 0.7 s
-/// after the longest deadline, and what is unanswered then is lost.
-const CLOSE_IDLE: Duration = Duration::from_millis(500);
-const EARLIEST_END: Duration = Duration::from_millis(400);
-const LATEST_END: Duration = Duration::from_millis(300);
-const QUIET: f64 = 0.4;
+/// How often an order to stop is looked at.
+const STOP_TICK: Duration = Duration::from_millis(5);
 
 fn main() -> ExitCode {
     match cli::Cli::parse().command {
@@ -224,7 +219,10 @@
     let (agent, agents) = watch::channel(config.discovery.unwrap_or(nowhere));
     match config.files.clone() {
         Some(source) => membership::start(source, to_core.clone())?,
-        None => drop(tokio::task::spawn_local(discovery::watch(agents, to_core.clone(), contracts.clone()))),
+        None => {
+            let watch = discovery::watch(agents, to_core.clone(), contracts.clone(), clock.clone());
+            tokio::task::spawn_local(watch);
+        }
     }
     let core = tokio::task::spawn_local(core.run(config.offer.deployment.policy.tick));
     tokio::task::spawn_local(reload(hangups, config, agent, contracts, to_core));
@@ -237,17 +235,24 @@
     if shared {
         listeners.iter().for_each(|listener| listener.abort());
     }
-    phase.send_replace(Phase::Stopping);
-    tokio::time::sleep(CLOSE_IDLE).await;
-    phase.send_replace(Phase::Closing);
-    tokio::time::sleep(EARLIEST_END).await;
-    let latest = tokio::time::Instant::now() + LATEST_END;
-    while clock.now() - places.last_asked() < QUIET && tokio::time::Instant::now() < latest {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    listeners.iter().for_each(|listener| listener.abort());
-    while places.serving() > 0 {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+    let longest = offers.borrow().deployment.offered().map(|(.., class)| class.deadline).fold(0.0, f64::max);
+    let mut stop = Stop::new(clock.now(), longest);
+    places.answer_by(stop.answered_by());
+    loop {
+        let step = stop.step(clock.now(), places.seen());
+        let next = match step {
+            Step::Serving => Phase::Stopping,
+            Step::Closing | Step::Deaf => Phase::Closing,
+            Step::Refusing | Step::Over => Phase::Refusing,
+        };
+        phase.send_if_modified(|phase| std::mem::replace(phase, next) != next);
+        if step >= Step::Deaf {
+            listeners.iter().for_each(|listener| listener.abort());
+        }
+        if step == Step::Over {
+            break;
+        }
+        tokio::time::sleep(STOP_TICK).await;
     }
     Ok(())
 }
--- a/node/src/stages/mod.rs
+++ b/node/src/stages/mod.rs
@@ -315,7 +315,7 @@
 
     fn turn_to(&self, next: impl Fn(Phase) -> Option<Phase>) -> Verdict {
         let current = *self.phase.borrow();
-        if matches!(current, Phase::Stopping | Phase::Closing) {
+        if matches!(current, Phase::Stopping | Phase::Closing | Phase::Refusing) {
             return Verdict::NotNow("the process was told to stop");
         }
         if let Some(phase) = next(current) {
--- a/node/src/words.rs
+++ b/node/src/words.rs
@@ -208,4 +208,6 @@
     Stopping,
     /// Idle connections are closed.
     Closing,
+    /// What has come in part is refused.
+    Refusing,
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -367,6 +367,8 @@
     pub address: SocketAddr,
     state: Arc<List>,
     pub calls: Arc<Mutex<Vec<String>>>,
+    /// Connections numbered below this are never answered any more; and how many there were.
+    silent: Arc<(AtomicU64, AtomicU64)>,
 }
 
 impl Discovery {
@@ -375,14 +377,17 @@
         let address = listener.local_addr().unwrap();
         let state = Arc::new((Mutex::new((1, members)), Condvar::new()));
         let calls = Arc::new(Mutex::new(Vec::new()));
-        let (shared, heard) = (state.clone(), calls.clone());
+        let silent = Arc::new((AtomicU64::new(0), AtomicU64::new(0)));
+        let (shared, heard, hushed) = (state.clone(), calls.clone(), silent.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (shared, heard) = (shared.clone(), heard.clone());
-                thread::spawn(move || Self::connection(stream, &shared, &heard));
+                let number = hushed.1.fetch_add(1, Ordering::SeqCst);
+                let (shared, heard, hushed) = (shared.clone(), heard.clone(), hushed.clone());
+                let sound = move || number >= hushed.0.load(Ordering::SeqCst);
+                thread::spawn(move || Self::connection(stream, &shared, &heard, sound));
             }
         });
-        Discovery { address, state, calls }
+        Discovery { address, state, calls, silent }
     }
 
     /// The lines of its list.
@@ -390,7 +395,18 @@
         self.state.0.lock().unwrap().1.clone()
     }
 
-    fn connection(mut stream: TcpStream, state: &List, calls: &Mutex<Vec<String>>) -> Option<()> {
+    /// From now on no connection there is is answered, nor are so many further ones. All stay open.
+    pub fn hush(&self, further: u64) {
+        let made = self.silent.1.load(Ordering::SeqCst);
+        self.silent.0.store(made + further, Ordering::SeqCst);
+    }
+
+    fn connection(
+        mut stream: TcpStream,
+        state: &List,
+        calls: &Mutex<Vec<String>>,
+        sound: impl Fn() -> bool,
+    ) -> Option<()> {
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         loop {
             let message = read_message(&mut reader)?;
@@ -404,8 +420,15 @@
                 let hold = Duration::from_millis(hold);
                 list = changed.wait_timeout_while(list, hold, |list| list.0 <= from).unwrap().0;
             }
-            let body = json!({"revision": list.0, "complete": true, "members": list.1}).to_string();
+            // Indented, as lists may come.
+            let body = json!({"revision": list.0, "complete": true, "members": list.1});
+            let body = serde_json::to_string_pretty(&body).unwrap();
             drop(list);
+            if !sound() {
+                // It stays open and says nothing, whatever else comes on it.
+                while read_message(&mut reader).is_some() {}
+                return None;
+            }
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
             stream.write_all(format!("{head}{body}").as_bytes()).ok()?;
         }
--- /dev/null
+++ b/tests/cold.rs
@@ -0,0 +1,187 @@
+//! Many coordinators and one server that starts: what they send it in sum, each knowing only its own part.
+
+mod common;
+
+use cairnroad::*;
+use common::class;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Cells, one server in each; a shard is held by two in a row.
+const CELLS: u32 = 12;
+/// Parts a second that the whole fleet is asked for, for each server.
+const RATE: f64 = 150.0;
+/// What a warm server could do: at `RATE` it is a little over half busy.
+const CAPACITY: f64 = 270.0;
+/// Seconds that an answer takes.
+const TOOK: f64 = 0.02;
+const TICK: f64 = 0.005;
+const PARTS: u64 = 4;
+
+fn settings(coordinators: u32) -> Settings {
+    Settings {
+        cells: CELLS,
+        reach: 2,
+        group_size: coordinators,
+        cold_from: 0.2,
+        fall_multiple: 1.5,
+        fall_window: 1.0,
+        warm_up: 10.0,
+        ..common::settings(vec![class(Effect::Safe)])
+    }
+}
+
+fn row(id: u32, ready_at: Option<Time>) -> Listed {
+    Listed { cell: id, ..common::listed(id, ServerState::Ready, ready_at) }
+}
+
+/// One coordinator and the parts that it has out.
+struct One {
+    decisions: Aggregator,
+    events: Vec<Event>,
+    wake: Option<Time>,
+    servers: BTreeMap<(u64, u8), u32>,
+    attempts: BTreeMap<u64, u8>,
+}
+
+/// What the fleet sent to the server that started, at which age, and by which coordinator.
+struct Sent(Vec<(f64, usize)>);
+
+impl Sent {
+    /// The most of what came within one window, over what the settings allow then, with chance's room.
+    fn worst(&self, settings: &Settings) -> f64 {
+        let mut window = VecDeque::new();
+        let mut worst: f64 = 0.0;
+        for &(age, _) in &self.0 {
+            window.push_back(age);
+            while window.front().is_some_and(|&first| age - first > settings.fall_window) {
+                window.pop_front();
+            }
+            let from = (age - settings.fall_window).max(0.0) / settings.warm_up;
+            let ramp = settings.cold_from + (1.0 - settings.cold_from) * from;
+            let allowed = settings.fall_multiple * ramp * CAPACITY * settings.fall_window;
+            worst = worst.max(window.len() as f64 / (allowed + 3.0 * allowed.sqrt() + 3.0));
+        }
+        worst
+    }
+
+    /// The share of the usual rate that it got in its first so many seconds.
+    fn share(&self, secs: f64) -> f64 {
+        self.0.iter().filter(|&&(age, _)| age <= secs).count() as f64 / (RATE * secs)
+    }
+}
+
+/// So many coordinators share the traffic; server 0 leaves at 8 s and is back, started anew, at 12 s. The list tells
+/// coordinator `number` of the start after so many seconds.
+fn play(coordinators: u32, told_after: impl Fn(usize) -> f64) -> Sent {
+    let start = Time::from_secs(1000.0);
+    let back = start + 12.0;
+    let list: Vec<Listed> = (0..CELLS).map(|id| row(id, None)).collect();
+    let one = |number: u32| One {
+        decisions: Aggregator::new(settings(coordinators), u64::from(number) + 1),
+        events: vec![Event::List(ListNews::Full(list.clone()))],
+        wake: None,
+        servers: BTreeMap::new(),
+        attempts: BTreeMap::new(),
+    };
+    let mut fleet: Vec<One> = (0..coordinators).map(one).collect();
+    let mut random = 7u64;
+    let mut chance = || {
+        random = random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (random >> 11) as f64 / (1u64 << 53) as f64
+    };
+    let mut answers: VecDeque<(Time, usize, u64, u8, Outcome)> = VecDeque::new();
+    let mut sent = Vec::new();
+    let (mut query, mut due) = (0u64, 0.0);
+    for tick in 0..(20.0 / TICK) as u32 {
+        let (age, now) = (f64::from(tick) * TICK, start + f64::from(tick) * TICK);
+        for (number, one) in fleet.iter_mut().enumerate() {
+            let told = |at: f64| (age - at).abs() < TICK / 2.0;
+            if told(8.0) {
+                let gone = Listed { state: ServerState::Gone, ..row(0, None) };
+                one.events.push(Event::List(ListNews::Delta(vec![gone])));
+            }
+            if told(12.0 + (told_after(number) / TICK).round() * TICK) {
+                one.events.push(Event::List(ListNews::Delta(vec![row(0, Some(back))])));
+            }
+        }
+        while answers.front().is_some_and(|answer| answer.0 <= now) {
+            let Some((_, number, part, attempt, outcome)) = answers.pop_front() else { break };
+            fleet[number].events.push(Event::Done { id: RequestId(part), attempt, outcome });
+        }
+        due += RATE * f64::from(CELLS) / PARTS as f64 * TICK;
+        while chance() < due {
+            due -= 1.0;
+            query += 1;
+            let one = &mut fleet[(chance() * f64::from(coordinators)) as usize];
+            let id = RequestId(query * 100);
+            one.events.push(Event::Query {
+                id,
+                class: ClassId(0),
+                number: query,
+                due: now + 3.0,
+                work: None,
+                repeat: false,
+            });
+            let first = (chance() * f64::from(CELLS)) as u64;
+            for at in 0..PARTS {
+                let shard = ((first + at * 3) % u64::from(CELLS)) as u32;
+                let weight = 1.0 / PARTS as f64;
+                one.events.push(Event::Part { id: RequestId(id.0 + 1 + at), number: query, shard, weight });
+            }
+        }
+        for (number, one) in fleet.iter_mut().enumerate() {
+            let woken = one.wake.is_some_and(|at| at <= now);
+            if one.events.is_empty() && !woken {
+                continue;
+            }
+            let mut actions = Vec::new();
+            one.decisions.handle(now, &std::mem::take(&mut one.events), &mut actions);
+            one.wake = one.wake.filter(|_| !woken);
+            for action in actions {
+                match action {
+                    Action::Send { part, server, .. } => {
+                        let attempt = one.attempts.entry(part.0).or_default();
+                        one.servers.insert((part.0, *attempt), server.0);
+                        answers.push_back((now + TOOK, number, part.0, *attempt, Outcome::Ok));
+                        *attempt += 1;
+                        if server.0 == 0 && age >= 12.0 {
+                            sent.push((age - 12.0, number));
+                        }
+                    }
+                    Action::Wake(at) => one.wake = Some(one.wake.map_or(at, |earlier| earlier.min(at))),
+                    _ => {}
+                }
+            }
+        }
+    }
+    Sent(sent)
+}
+
+/// Guards against a start that each coordinator alone treats with care and all together run over.
+#[test]
+fn what_all_send_a_server_that_starts_keeps_to_its_limit() {
+    for coordinators in [3, 300] {
+        let sent = play(coordinators, |_| 0.1);
+        let worst = sent.worst(&settings(coordinators));
+        assert!(worst <= 1.0, "{coordinators} coordinators: {worst:.2} of the limit");
+        assert!(sent.share(4.0) > 0.15, "{coordinators} coordinators: it starves, {:.2}", sent.share(4.0));
+    }
+}
+
+/// Guards against a coordinator that hears late of a start and then sends what it would have earned since.
+#[test]
+fn those_who_hear_late_of_a_start_do_not_make_up_for_it() {
+    for coordinators in [3, 300] {
+        // Of four, one hears 3 s late; all its share is on top of what the others send then.
+        let late = |number: usize| number % 4 == 1;
+        let sent = play(coordinators, move |number| if late(number) { 3.0 } else { 0.1 });
+        assert!(sent.worst(&settings(coordinators)) <= 1.0, "{coordinators} coordinators");
+        let within = |from: f64, to: f64| {
+            sent.0.iter().filter(|&&(age, number)| late(number) && age > from && age <= to).count() as f64
+        };
+        assert_eq!(within(0.0, 2.9), 0.0, "nothing before they hear of it");
+        let (first, second) = (within(2.99, 3.49), within(3.49, 3.99));
+        let burst = 3.0 * second.max(f64::from(coordinators) / 4.0).sqrt() + 3.0;
+        assert!(first <= second + burst, "{coordinators} coordinators: {first} after {second}");
+    }
+}
