Play faults between processes from a scenario and check the whole history

Need: every piece has to be proven by several processes of the program with faults between them. Change: cairnroad-lab chaos SCENARIO: proxies for datagrams and connections, a supervisor that starts coordinators at port 0, stops, resumes, kills, restarts and reloads them, a scenario in TOML whose faults name file, line and key, and a checker on one clock: one final answer each, confirms once, nothing to a removed data node, values unchanged, every view right within a stated time after each fault. A client's connection that ends without an answer is told apart (End::Cut).

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -265,7 +265,12 @@
         queries: ended.len(),
         service: service(&|_| true),
         by_class: [service(&|one| one.class == 0), service(&|one| one.class == 1)],
-        ends: [count(End::Served), count(End::Refused), count(End::Failed), count(End::Silent)],
+        ends: [
+            count(End::Served),
+            count(End::Refused),
+            count(End::Failed) + count(End::Cut),
+            count(End::Silent),
+        ],
         attempts: fleet.ledger.borrow().arrivals.len() as f64 / ended.len().max(1) as f64,
         p50: quantile(0.5),
         p99: quantile(0.99),
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -67,6 +67,8 @@
     Garbage,
     /// Everything is turned away.
     Refuse,
+    /// Each value is another one's. No real node does so: it is for trying checkers.
+    Lies,
 }
 
 enum Reply {
@@ -228,7 +230,8 @@
     }
 
     fn answer(&self, server: &Server, waiting: Waiting) {
-        let value = value(waiting.query, waiting.shard);
+        let lie = u64::from(server.mood.get() == Mood::Lies);
+        let value = value(waiting.query + lie, waiting.shard);
         let (queue, latency) = server.node.borrow().report();
         let mood = server.mood.get();
         let (to, mut bytes) = match waiting.reply {
@@ -257,7 +260,7 @@
                 return;
             }
             Mood::Garbage => bytes = vec![0xff; 64],
-            Mood::Well | Mood::Refuse => {}
+            Mood::Well | Mood::Refuse | Mood::Lies => {}
         }
         let _ = to.send(bytes);
     }
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -106,6 +106,8 @@
     Failed,
     /// No answer before the client's time was up.
     Silent,
+    /// No answer before the connection's end.
+    Cut,
 }
 
 /// A query's worth to its client: whole within the aim, 0.3 of it until the deadline.
@@ -118,7 +120,7 @@
 }
 
 /// Connections that are idle, by front.
-type Idle = Rc<RefCell<Vec<(SocketAddr, BufReader<TcpStream>)>>>;
+pub type Idle = Rc<RefCell<Vec<(SocketAddr, BufReader<TcpStream>)>>>;
 
 /// Plays all arrivals from `start` on; each is a task of its own, so that none waits for another.
 pub async fn play(
@@ -143,7 +145,8 @@
     }
 }
 
-async fn client(due: Due, fronts: [SocketAddr; 2], start: Instant, retries: u32, idle: Idle) -> Ended {
+/// Plays one client; each of its tries is a query of its own.
+pub async fn client(due: Due, fronts: [SocketAddr; 2], start: Instant, retries: u32, idle: Idle) -> Ended {
     let begun = start + Duration::from_secs_f64(due.at);
     let end = begun + Duration::from_secs_f64(DEADLINES[due.class]);
     let mut result = (End::Silent, None);
@@ -157,7 +160,7 @@
         let asked = ask(&due, tries, fronts, left.as_secs_f64(), &idle);
         result = match tokio::time::timeout_at(end, asked).await {
             Err(_) => (End::Silent, None),
-            Ok(Err(_)) => (End::Failed, None),
+            Ok(Err(_)) => (End::Cut, None),
             Ok(Ok((status, body, wait))) => {
                 let (end, wrong) = judge(&due, status, &body);
                 if end == End::Refused && tries <= retries {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! The laboratory. See `docs/LAB.md`.
 
+mod chaos;
 mod demo;
 mod experiment;
 mod fleet;
@@ -38,6 +39,15 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Play faults between processes and check the whole history
+    #[command(after_help = "Example:\n  cairnroad-lab chaos lab/scenarios/twelve.toml --keep /tmp/twelve")]
+    Chaos {
+        /// The scenario's file
+        scenario: PathBuf,
+        /// A folder that keeps the processes' settings and logs
+        #[arg(long)]
+        keep: Option<PathBuf>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -52,6 +62,7 @@
     let done = match Cli::parse().command {
         Command::Demo { seconds } => local.block_on(&runtime, demo::run(seconds)),
         Command::Run { experiment, out } => local.block_on(&runtime, experiment::run(&experiment, &out)),
+        Command::Chaos { scenario, keep } => local.block_on(&runtime, chaos::run(&scenario, keep.as_deref())),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
