--- a/lab/src/chaos/mod.rs
+++ b/lab/src/chaos/mod.rs
@@ -16,7 +16,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -54,13 +54,13 @@
 }
 
 /// Plays a scenario's file and prints what it showed. Whether nothing was wrong.
-pub async fn run(path: &Path, keep: Option<&Path>) -> Result<bool, String> {
+pub async fn run(path: &Path, keep: Option<&Path>, other: Option<PathBuf>) -> Result<bool, String> {
     let scenario = scenario::load(path).map_err(|fault| format!("{fault}\nhelp: {}", fault.help()))?;
     let folder = match keep {
         Some(folder) => folder.to_path_buf(),
         None => std::env::temp_dir().join(format!("cairnroad-chaos-{}", std::process::id())),
     };
-    let outcome = play(scenario, &folder).await;
+    let outcome = play(scenario, &folder, other).await;
     if keep.is_none() {
         let _ = std::fs::remove_dir_all(&folder);
     }
@@ -74,7 +74,7 @@
 }
 
 /// Plays a scenario; logs and settings of its processes stand in `folder`.
-pub async fn play(scenario: Scenario, folder: &Path) -> Result<Outcome, String> {
+pub async fn play(scenario: Scenario, folder: &Path, other: Option<PathBuf>) -> Result<Outcome, String> {
     let node = json!({"cores": 2, "cold_from": 0.25, "warm_s": 10.0, "fall_multiple": 1e9, "fall_s": 1.0});
     let spec = json!({"nodes": scenario.nodes, "cells": scenario.nodes.min(6), "shards": SHARDS, "work_ms": [2.0, 2.0],
         "node": node});
@@ -83,7 +83,8 @@
     let fleet = Fleet::start(spec, scenario.seed).await?;
     let net = Net::new(scenario.seed);
     let own = "[log]\nlevel = \"info\"\n".to_string();
-    let plan = Plan { program: program()?, folder: folder.to_path_buf(), cells, shards: SHARDS, own };
+    let program = other.map_or_else(program, Ok)?;
+    let plan = Plan { program, folder: folder.to_path_buf(), cells, shards: SHARDS, own };
     let io = |e: std::io::Error| e.to_string();
     let mut ways = Vec::new();
     let mut addresses = Vec::new();
@@ -336,11 +337,15 @@
         let (datagrams, bytes) = sent.values().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let per = |total: u64| total as f64 / self.scenario.span / self.scenario.coordinators as f64;
         let round = |figure: f64| (figure * 10.0).round() / 10.0;
+        let usage: Vec<(f64, f64)> = self.processes.borrow().values().filter_map(Process::usage).collect();
+        let many = usage.len().max(1) as f64;
+        let (cpu, memory) = usage.iter().fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         use crate::load::End;
         let figures = json!({
             "coordinators": self.scenario.coordinators, "nodes": self.scenario.nodes, "span_s": self.scenario.span,
             "queries": history.asked.len(), "served": ends(End::Served), "refused": ends(End::Refused),
             "failed": ends(End::Failed), "unanswered": ends(End::Silent) + ends(End::Cut),
+            "cpu_ms_a_process_s": round(cpu * 1e3 / many / self.scenario.span), "memory_mb": round(memory / many),
             "looks": history.sights.len(), "datagrams_a_member_s": round(per(datagrams)),
             "bytes_a_member_s": round(per(bytes)), "detection_s": self.detection(&history),
         });
--- a/lab/src/chaos/process.rs
+++ b/lab/src/chaos/process.rs
@@ -14,6 +14,8 @@
 /// How long a start, and how long an end may take.
 const BEGINS: Duration = Duration::from_secs(20);
 const ENDS: Duration = Duration::from_secs(10);
+/// The system counts processor time in these.
+const TICKS_A_SECOND: f64 = 100.0;
 /// How long a call at the door may take.
 const CALL: Duration = Duration::from_millis(1_000);
 
@@ -189,6 +191,19 @@
 }
 
 impl Process {
+    /// Seconds of processor time that it used, and the memory that it holds, in MB; where the system tells.
+    pub fn usage(&self) -> Option<(f64, f64)> {
+        let folder = PathBuf::from(format!("/proc/{}", self.child.id()?));
+        let stat = std::fs::read_to_string(folder.join("stat")).ok()?;
+        // Behind the name, which may hold anything, user and system time are the 12th and 13th words.
+        let words: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks = words.get(11)?.parse::<f64>().ok()? + words.get(12)?.parse::<f64>().ok()?;
+        let status = std::fs::read_to_string(folder.join("status")).ok()?;
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kilobytes: f64 = resident.split_whitespace().next()?.parse().ok()?;
+        Some((ticks / TICKS_A_SECOND, kilobytes / 1024.0))
+    }
+
     /// Sends it a signal by name.
     pub fn signal(&self, name: &str) {
         if let Some(id) = self.child.id() {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -47,6 +47,9 @@
         /// A folder that keeps the processes' settings and logs
         #[arg(long)]
         keep: Option<PathBuf>,
+        /// Another program than the one beside this
+        #[arg(long)]
+        program: Option<PathBuf>,
     },
 }
 
@@ -62,7 +65,9 @@
     let done = match Cli::parse().command {
         Command::Demo { seconds } => local.block_on(&runtime, demo::run(seconds)),
         Command::Run { experiment, out } => local.block_on(&runtime, experiment::run(&experiment, &out)),
-        Command::Chaos { scenario, keep } => local.block_on(&runtime, chaos::run(&scenario, keep.as_deref())),
+        Command::Chaos { scenario, keep, program } => {
+            local.block_on(&runtime, chaos::run(&scenario, keep.as_deref(), program))
+        }
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
