Forget a member's last life only if it has not come back

Seen on rereading, then in a test of an hour's play: the memory of one that had failed ends after an hour, and took with it the member that had come back under a later number meanwhile; all others lost sight of it. At fault: the timer's branch in Group::tick, which went by the name alone. Now it goes by the life, and only if that is gone. Result: the test fails without the change ('0 misses [3]') and passes with it.

--- a/peers/src/decide.rs
+++ b/peers/src/decide.rs
@@ -475,8 +475,12 @@
         while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= local) {
             let timer = entry.remove();
             if let Timer::RemoveDown(id) = &timer {
-                self.observed.borrow_mut().forget(id);
-                self.members.remove(&id.name);
+                // One that came back under a later number since is not meant.
+                let gone = |member: &Member| member.id == *id && !member.state.is_there();
+                if self.members.get(&id.name).is_some_and(gone) {
+                    self.observed.borrow_mut().forget(id);
+                    self.members.remove(&id.name);
+                }
             }
             let mut taken = Taken::default();
             // An error tells of a cycle that a return has cut short; the library goes on.
--- a/peers/tests/group.rs
+++ b/peers/tests/group.rs
@@ -207,6 +207,21 @@
     assert!(!alive_again);
 }
 
+/// Guards against forgetting one that came back when the memory of its last life ends, an hour later.
+#[test]
+fn who_came_back_is_not_forgotten_with_its_last_life() {
+    let mut sim = whole(6);
+    sim.plan(20.0, Fault::Kill(3));
+    sim.plan(40.0, Fault::Restart(3, 0.0));
+    sim.plan(41.0, Fault::Kill(7));
+    sim.play(41.1);
+    sim.settle(SETTLED).unwrap();
+    sim.play(3_700.0);
+    assert_eq!(sim.wrong(), None);
+    let view = sim.groups[0].as_ref().unwrap().view();
+    assert_eq!((view.members.len(), sim.failures(100.0).len()), (SIZE - 2, 0), "who stays away is forgotten");
+}
+
 /// A schedule from a seed: a handful of faults within a minute, then all is healed.
 fn schedule(seed: u64) -> Vec<(f64, Fault)> {
     let mut chance = StdRng::seed_from_u64(seed);
