--- a/words/src/lib.rs
+++ b/words/src/lib.rs
@@ -1,4 +1,4 @@
-//! The types that an [`Aggregator`](crate::Aggregator) speaks: settings, events, actions and ids.
+//! The words that the decisions speak: time, ids, settings, events and actions.
 
 use std::ops::{Add, Sub};
 
