Take one for left where a later life of its name has left

Seen: schedule 553 of 2,000, shrunk to three faults: one that was cut off knew only the life before the one that left, and took it for failed for good while the others had it as left. At fault: Facts::has_left went by one life alone.

--- a/peers/src/facts.rs
+++ b/peers/src/facts.rs
@@ -226,9 +226,9 @@
         counts
     }
 
-    /// Whether a life of a writer has left by its own word.
+    /// Whether a life of a writer, or a later one under its name, has left by its own word.
     pub fn has_left(&self, writer: Name, generation: u64) -> bool {
-        self.held.get(&(writer, 3)).is_some_and(|held| held.fact.generation == generation)
+        self.held.get(&(writer, 3)).is_some_and(|held| held.fact.generation >= generation)
     }
 
     fn is_there(&self, writer: Name) -> bool {
--- a/peers/tests/group.rs
+++ b/peers/tests/group.rs
@@ -278,6 +278,18 @@
     faults
 }
 
+/// The least of a schedule that broke a promise: one that was cut off knew only the life before the one that left, and
+/// took it for failed for good.
+#[test]
+fn who_left_has_left_also_where_only_its_last_life_was_known() {
+    let faults = [
+        (69.37359520621965, Fault::Restart(5, 0.0)),
+        (72.02274311593156, Fault::Leave(5)),
+        (46.930528509141766, Fault::Mute(vec![8])),
+    ];
+    assert_eq!(broken(553, &faults), None);
+}
+
 #[test]
 fn views_converge_after_any_schedule() {
     let seeds: u64 = std::env::var("SCHEDULES").ok().and_then(|text| text.parse().ok()).unwrap_or(60);
