Try doubted servers by what is asked, not by what is sent: a node could refuse for good

The tally of such a node shows nine servers ready, two doubted, nothing sent for 28 s, usual times of 89 and 74 ms. Ruled out: cold servers (none young), overload (times stay low), a silent list (the drains were heard), resets (none). Cause: both servers of one cell are doubted, a query needs a part there and none may be partial, so all are refused; trials were rationed as a share of the parts sent (src/policy/choose.rs, may_try), which is then none, and probes are earned by sends too. Beside it: standing() held an old hint of a probe against a trial for good, and no class but a repeatable one may try, also where a deployment has none. Change: the ration counts the parts asked, sent or refused (one more window); a hint counts while it is fresh; without a repeatable class others may try.

--- a/src/policy/choose.rs
+++ b/src/policy/choose.rs
@@ -4,8 +4,8 @@
 
 /// A doubted server gets one trial part in this share of the shortest aim, times its pace over `DOUBT`.
 const TRIAL_GAP: f64 = 0.4;
-/// Trial parts stay under this share of the parts lately sent by this node: a rescue for each is within the
-/// tenth of copies, and many nodes with little traffic each don't wear a bad server down or out.
+/// Trial parts stay under this share of the parts lately asked of this node, sent or refused: a rescue for each
+/// is within the tenth of copies, and many nodes with little traffic don't wear a bad server down or out.
 const TRIAL_SHARE: f64 = 0.04;
 
 impl Aggregator {
@@ -68,17 +68,19 @@
     /// Whether there is room for a trial part of this class.
     pub(super) fn may_try(&mut self, now: Time, class: usize) -> bool {
         let span = self.recent * CALM_LATELY; // in less, a node asked little sends too few parts for one
-        self.settings.classes[class].effect == Effect::Safe
+        let safe = |class: &Class| class.effect == Effect::Safe;
+        (safe(&self.settings.classes[class]) || !self.settings.classes.iter().any(safe))
             && self.trials.count(now, self.shortest * TRIAL_GAP) < 1.0 // saved up, but not one query's burden
-            && self.trials.count(now, span) + 1.0 <= TRIAL_SHARE * self.parts_sent.count(now, span)
+            && self.trials.count(now, span) + 1.0 <= TRIAL_SHARE * self.asked.count(now, span)
     }
 
     /// 0: takes its turn. 1: overdue. 2: doubted. (`choose` adds 3: weightless, 4: tried.) And the parts out.
     pub(super) fn standing(&self, now: Time, id: ServerId, may_try: bool) -> (u8, usize, i64) {
         let server = &self.servers[&id];
         if self.doubted(now, server) {
+            let hinted = server.hint > DOUBT && now - server.probed < self.recent;
             let rested = now - server.last_sent > self.shortest * TRIAL_GAP * server.pace / DOUBT;
-            if may_try && rested && server.out.is_empty() && server.hint <= DOUBT {
+            if may_try && rested && server.out.is_empty() && !hinted {
                 return (0, 0, server.turn);
             }
             return (2, server.out.len(), server.turn);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -66,6 +66,7 @@
     usual: Vec<f64>,
     noted: Vec<Time>,
     density: f64,
+    asked: Window,
     parts_sent: Window,
     copies: Window,
     trials: Window,
--- a/src/policy/note.rs
+++ b/src/policy/note.rs
@@ -50,6 +50,7 @@
         let weight = if weight.is_finite() { weight.max(0.0) } else { 0.0 };
         let part = Part { query: query_id, class: query.class, shard, weight, ..Part::default() };
         self.parts.insert(id, part);
+        self.asked.push(now, self.recent * CALM_LATELY);
         self.budget.took(now, self.settings.budget);
         Some(query_id)
     }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -8,10 +8,17 @@
 
 /// Cells, one server in each; a shard is held by two in a row.
 const CELLS: u32 = 12;
-/// Parts a second that the whole fleet is asked for, for each server.
-const RATE: f64 = 150.0;
-/// What a warm server could do: at `RATE` it is a little over half busy.
-const CAPACITY: f64 = 270.0;
+/// What the fleet has to do: parts a second that all are asked for, for each server; and what a warm server could do.
+#[derive(Clone, Copy)]
+struct Load {
+    rate: f64,
+    capacity: f64,
+}
+
+/// A little over half busy; many parts in a window.
+const MUCH: Load = Load { rate: 150.0, capacity: 270.0 };
+/// The same with few: a cold server may get no more than two or three in a window at first.
+const LITTLE: Load = Load { rate: 5.0, capacity: 9.0 };
 /// Seconds that an answer takes.
 const TOOK: f64 = 0.02;
 const TICK: f64 = 0.005;
@@ -44,47 +51,47 @@
 }
 
 /// What the fleet sent to the server that started, at which age, and by which coordinator.
-struct Sent(Vec<(f64, usize)>);
+struct Sent(Load, Vec<(f64, usize)>);
 
 impl Sent {
     /// The most of what came within one window, over what the settings allow then, with chance's room.
     fn worst(&self, settings: &Settings) -> f64 {
         let mut window = VecDeque::new();
         let mut worst: f64 = 0.0;
-        for &(age, _) in &self.0 {
+        for &(age, _) in &self.1 {
             window.push_back(age);
             while window.front().is_some_and(|&first| age - first > settings.fall_window) {
                 window.pop_front();
             }
             let from = (age - settings.fall_window).max(0.0) / settings.warm_up;
             let ramp = settings.cold_from + (1.0 - settings.cold_from) * from;
-            let allowed = settings.fall_multiple * ramp * CAPACITY * settings.fall_window;
-            worst = worst.max(window.len() as f64 / (allowed + 3.0 * allowed.sqrt() + 3.0));
+            let allowed = settings.fall_multiple * ramp * self.0.capacity * settings.fall_window;
+            worst = worst.max(window.len() as f64 / (allowed + 2.0 * allowed.sqrt() + 2.0));
         }
         worst
     }
 
     /// The share of the usual rate that it got in its first so many seconds.
     fn share(&self, secs: f64) -> f64 {
-        self.0.iter().filter(|&&(age, _)| age <= secs).count() as f64 / (RATE * secs)
+        self.1.iter().filter(|&&(age, _)| age <= secs).count() as f64 / (self.0.rate * secs)
     }
 }
 
 /// So many coordinators share the traffic; server 0 leaves at 8 s and is back, started anew, at 12 s. The list tells
 /// coordinator `number` of the start after so many seconds.
-fn play(coordinators: u32, told_after: impl Fn(usize) -> f64) -> Sent {
+fn play(load: Load, seed: u64, coordinators: u32, told_after: impl Fn(usize) -> f64) -> Sent {
     let start = Time::from_secs(1000.0);
     let back = start + 12.0;
     let list: Vec<Listed> = (0..CELLS).map(|id| row(id, None)).collect();
     let one = |number: u32| One {
-        decisions: Aggregator::new(settings(coordinators), u64::from(number) + 1),
+        decisions: Aggregator::new(settings(coordinators), u64::from(number) + 1000 * seed + 1),
         events: vec![Event::List(ListNews::Full(list.clone()))],
         wake: None,
         servers: BTreeMap::new(),
         attempts: BTreeMap::new(),
     };
     let mut fleet: Vec<One> = (0..coordinators).map(one).collect();
-    let mut random = 7u64;
+    let mut random = 7 + seed;
     let mut chance = || {
         random = random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
         (random >> 11) as f64 / (1u64 << 53) as f64
@@ -108,7 +115,7 @@
             let Some((_, number, part, attempt, outcome)) = answers.pop_front() else { break };
             fleet[number].events.push(Event::Done { id: RequestId(part), attempt, outcome });
         }
-        due += RATE * f64::from(CELLS) / PARTS as f64 * TICK;
+        due += load.rate * f64::from(CELLS) / PARTS as f64 * TICK;
         while chance() < due {
             due -= 1.0;
             query += 1;
@@ -154,14 +161,14 @@
             }
         }
     }
-    Sent(sent)
+    Sent(load, sent)
 }
 
 /// Guards against a start that each coordinator alone treats with care and all together run over.
 #[test]
 fn what_all_send_a_server_that_starts_keeps_to_its_limit() {
-    for coordinators in [3, 300] {
-        let sent = play(coordinators, |_| 0.1);
+    for coordinators in [3, 30, 300] {
+        let sent = play(MUCH, 0, coordinators, |_| 0.1);
         let worst = sent.worst(&settings(coordinators));
         assert!(worst <= 1.0, "{coordinators} coordinators: {worst:.2} of the limit");
         assert!(sent.share(4.0) > 0.15, "{coordinators} coordinators: it starves, {:.2}", sent.share(4.0));
@@ -174,10 +181,10 @@
     for coordinators in [3, 300] {
         // Of four, one hears 3 s late; all its share is on top of what the others send then.
         let late = |number: usize| number % 4 == 1;
-        let sent = play(coordinators, move |number| if late(number) { 3.0 } else { 0.1 });
+        let sent = play(MUCH, 0, coordinators, move |number| if late(number) { 3.0 } else { 0.1 });
         assert!(sent.worst(&settings(coordinators)) <= 1.0, "{coordinators} coordinators");
         let within = |from: f64, to: f64| {
-            sent.0.iter().filter(|&&(age, number)| late(number) && age > from && age <= to).count() as f64
+            sent.1.iter().filter(|&&(age, number)| late(number) && age > from && age <= to).count() as f64
         };
         assert_eq!(within(0.0, 2.9), 0.0, "nothing before they hear of it");
         let (first, second) = (within(2.99, 3.49), within(3.49, 3.99));
@@ -185,3 +192,21 @@
         assert!(first <= second + burst, "{coordinators} coordinators: {first} after {second}");
     }
 }
+
+/// Guards against a credit of one part that each coordinator begins with or saves up: where a cold server may get few in a
+/// window, all of them together would be more than that, the more coordinators there are.
+#[test]
+fn where_little_is_allowed_the_sum_keeps_to_it_whatever_the_fleet() {
+    for coordinators in [3, 30, 300] {
+        let worst: Vec<f64> = (1..=12)
+            .map(|seed| play(LITTLE, seed, coordinators, |_| 0.1).worst(&settings(coordinators)))
+            .collect();
+        let mean = worst.iter().sum::<f64>() / worst.len() as f64;
+        let spread = worst.iter().map(|worst| (worst - mean).powi(2)).sum::<f64>() / worst.len() as f64;
+        println!(
+            "{coordinators} coordinators: worst window {mean:.2} of the limit, spread {:.2}: {worst:.2?}",
+            spread.sqrt()
+        );
+        assert!(worst.iter().all(|&worst| worst <= 1.0), "{coordinators} coordinators: {worst:.2?}");
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -194,3 +194,70 @@
     let (events, _, _) = rig.query(0, &shards());
     assert_eq!(sends(&rig.play(&events)).len(), 36, "none is taken for cold");
 }
+
+/// A node with two servers a cell whose first cell lost both: every query needs a part there, and none may be partial. How
+/// many queries it served of those asked in the 60 s after both are well again, and how long the first took; `probed`: its
+/// probes failed before.
+fn sent_after_a_lost_cell(effect: Effect, probed: bool) -> (usize, usize, f64) {
+    let class = Class { aim: 1.0, deadline: 2.5, ..class(effect) };
+    let probes = probed.then_some(0);
+    let mut rig = rig(Settings { cells: CELLS, reach: 1, tick: 0.005, probes, ..settings(vec![class]) });
+    let ask = |rig: &mut Rig, well: bool| {
+        let (events, ..) = rig.query(0, &(0..CELLS).collect::<Vec<_>>());
+        let mut actions = rig.play(&events);
+        let mut sent = sends(&actions);
+        let answers = |sent: &[(u64, u32)], number: u8| -> Vec<Event> {
+            let outcome = |server: u32| if well || server % CELLS > 0 { Outcome::Ok } else { Outcome::Error };
+            sent.iter().map(|&(part, server)| done(part, number, outcome(server))).collect()
+        };
+        for number in 0..3 {
+            if sent.is_empty() {
+                break;
+            }
+            actions = rig.after(0.04, &answers(&sent, number));
+            sent = sends(&actions);
+        }
+        actions.iter().any(|action| matches!(action, Action::Answer { .. }))
+    };
+    for _ in 0..40 {
+        ask(&mut rig, false);
+        if probed {
+            let failed = |server| Event::Probed {
+                server: ServerId(server),
+                outcome: Outcome::Timeout,
+                report: vec![],
+            };
+            rig.play(&[failed(0), failed(CELLS)]);
+        }
+        rig.now = rig.now + 0.1;
+    }
+    // For long enough everything is refused, and nothing is sent.
+    for _ in 0..1200 {
+        ask(&mut rig, false);
+        rig.now = rig.now + 0.1;
+    }
+    let (mut served, mut asked, mut first, start) = (0, 0, f64::MAX, rig.now);
+    while rig.now - start < 60.0 {
+        asked += 1;
+        if ask(&mut rig, true) {
+            served += 1;
+            first = first.min(rig.now - start);
+        }
+        rig.now = rig.now + 0.1;
+    }
+    (served, asked, first)
+}
+
+/// Guards against a node that refuses for good: trials were rationed by what it sent, and where both servers of a shard
+/// are doubted it sends nothing. Neither an old hint of a probe nor a deployment without a repeatable class may keep it
+/// there.
+#[test]
+fn a_shard_whose_servers_are_all_doubted_is_tried_again_though_nothing_else_is_sent() {
+    for (effect, probed) in
+        [(Effect::Safe, false), (Effect::Safe, true), (Effect::Unsafe, false), (Effect::Keyed, false)]
+    {
+        let (served, asked, first) = sent_after_a_lost_cell(effect, probed);
+        assert!(first < 10.0, "{effect:?}, probed {probed}: first served after {first} s");
+        assert!(served * 10 > asked * 8, "{effect:?}, probed {probed}: {served} of {asked}");
+    }
+}
