--- a/node/src/backends/frames.rs
+++ b/node/src/backends/frames.rs
@@ -2,7 +2,7 @@
 
 use crate::contract::{Head, Part};
 use crate::http;
-use crate::link::{Command, LinkEnd};
+use crate::link::{self, Command, LinkEnd};
 use crate::words::{Attempt, Job, Judge, Value, What};
 use cairnroad::{Outcome, Time};
 use cairnroad_contract::drift::Interface;
@@ -239,8 +239,11 @@
                     barred.extend(jobs.into_iter().map(|job| (job, outcome)));
                 }
                 Some(Command::Call(jobs)) => {
+                    let now = end.clock.now();
+                    let (jobs, late): (Vec<Job>, Vec<Job>) =
+                        jobs.into_iter().partition(|job| job.may_be_sent(now));
+                    barred.extend(late.into_iter().map(|job| (job, Outcome::Moot)));
                     if !jobs.is_empty() {
-                        let now = end.clock.now();
                         self.frame = call(&jobs, now);
                         for job in jobs.iter().filter(|job| job.judge.is_some()) {
                             let text = job.text.as_str();
@@ -359,6 +362,10 @@
         }
     }
     end.spend();
+    if !spoilt {
+        // A write may fail before the answers are read that came before the break.
+        link::look(reader.as_ref(), &mut buffer);
+    }
     // What was read before the end still counts; the rest may have run. A connection that is closed for what came
     // on it was not broken by the server, and a query whose answers came spoilt is not what breaks it.
     if !spoilt {
--- a/node/src/backends/opensearch.rs
+++ b/node/src/backends/opensearch.rs
@@ -116,6 +116,10 @@
                 let mut jobs = jobs.into_iter();
                 let Some(job) = jobs.next() else { continue };
                 unsent.extend(jobs);
+                if !job.may_be_sent(end.clock.now()) {
+                    end.ended(job.attempt, Outcome::Moot, None).await;
+                    continue;
+                }
                 if !exchange(&mut end, &mut stream, &mut buffer, job).await {
                     break;
                 }
--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::contract::Watched;
 use crate::http;
+use crate::link;
 use crate::words::{Judge, Phase};
 use cairnroad_contract::drift::Interface;
 use exchange::{Exchange, Front, Kind, Reply};
@@ -16,6 +17,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// How long a connection may idle between two requests. Clients that stay for good would take up all places;
@@ -28,9 +30,8 @@
 /// How long a client that still sends is read after its answer, so that the answer isn't cut off by a reset. The
 /// end is owed within 6 s where 60 MB come.
 const LINGER: Duration = Duration::from_millis(2500);
-/// What is dropped of it at a go, and the pause after that: a flood of bytes must not take the whole core.
-const DROPPED: usize = 256 * 1024;
-const DROP_PAUSE: Duration = Duration::from_millis(5);
+/// The same for a client that idled: what crosses the end is read, so that no reset overtakes an answer it has not read.
+const PARTING: Duration = Duration::from_millis(250);
 /// How long a client may take to read an answer.
 const UNREAD: Duration = Duration::from_secs(5);
 /// How long an idle connection is still read once the program closes.
@@ -44,34 +45,51 @@
 /// A buffer of more is given back when its connection idles.
 const KEPT_BUFFER: usize = 4 * 1024;
 
-/// Accepts for as long as the program lives.
-pub async fn listen(listener: TcpListener, front: Rc<Front>) {
+/// Accepts until the program turns deaf. Whoever has connected by then is accepted yet: closing a listener resets all
+/// that wait there.
+pub async fn listen(listener: TcpListener, front: Rc<Front>, mut deaf: watch::Receiver<bool>) {
     loop {
-        // At the hard limit nobody is accepted: what waits in the backlog is taken once one leaves.
-        while front.places.open() >= front.limits.accepted {
-            front.places.make_room(front.clock.now());
-            tokio::time::sleep(Duration::from_millis(1)).await;
+        tokio::select! {
+            biased;
+            _ = deaf.wait_for(|deaf| *deaf) => break,
+            () = accept(&listener, &front) => {}
         }
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let now = front.clock.now();
-                let place = front.places.take();
-                // Two leave for each that comes until there is room: one alone would never win back what was lost
-                // while all were too young to leave.
-                for _ in 0..2 {
-                    if front.places.open() > front.limits.kept {
-                        front.places.make_room(now);
-                    }
-                }
-                let front = front.clone();
-                tokio::task::spawn_local(async move { serve(stream, &front, place).await });
-            }
-            Err(e) => {
-                tracing::warn!(cause = %e, "a client was not accepted");
-                tokio::time::sleep(Duration::from_millis(10)).await;
-            }
+    }
+    let Ok(listener) = listener.into_std() else { return };
+    while front.places.open() < front.limits.accepted {
+        let Ok((stream, _)) = listener.accept() else { return };
+        if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+            take(stream, &front);
+        }
+    }
+}
+
+async fn accept(listener: &TcpListener, front: &Rc<Front>) {
+    // At the hard limit nobody is accepted: what waits in the backlog is taken once one leaves.
+    while front.places.open() >= front.limits.accepted {
+        front.places.make_room(front.clock.now());
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    match listener.accept().await {
+        Ok((stream, _)) => take(stream, front),
+        Err(e) => {
+            tracing::warn!(cause = %e, "a client was not accepted");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+fn take(stream: TcpStream, front: &Rc<Front>) {
+    let place = front.places.take();
+    // Two leave for each that comes until there is room: one alone would never win back what was lost
+    // while all were too young to leave.
+    for _ in 0..2 {
+        if front.places.open() > front.limits.kept {
+            front.places.make_room(front.clock.now());
         }
     }
+    let front = front.clone();
+    tokio::task::spawn_local(async move { serve(stream, &front, place).await });
 }
 
 /// A connection's life: one request after another.
@@ -80,27 +98,30 @@
     let mut buffer = Vec::new();
     let mut first = Some(Instant::now() + SLOW);
     let mut ahead = None;
+    let mut overrun = false;
     loop {
-        let request = match next(front, &mut stream, &mut buffer, &place, first.take()).await {
-            Ok(Some(request)) => request,
-            Ok(None) => return,
+        let request = match next(front, &mut stream, &mut buffer, &place, first.take(), overrun).await {
+            Ok(Next::Request(request)) => request,
+            Ok(Next::Gone) => return,
+            Ok(Next::Rests) => return linger(front, &mut stream, &place, PARTING).await,
             Err(bad) => {
                 place.refuses();
-                let mut reply = refusal_of(front, bad.status(), bad.text());
-                if bad == http::Bad::Ending {
-                    reply = reply.with("Retry-After", "1".into());
-                }
+                let reply = match bad.passes() {
+                    true => later(front, bad.status(), bad.text()),
+                    false => refusal_of(front, bad.status(), bad.text()),
+                };
                 let _ = write(&mut stream, reply, true).await;
-                place.answered();
-                return linger(front, &mut stream, &place).await;
+                place.answered(front.clock.now());
+                return linger(front, &mut stream, &place, LINGER).await;
             }
         };
         let (arrived, begun) = (front.clock.earliest_arrival(), Instant::now());
         let crowded = front.places.busy() > front.limits.clients;
         let asked_to_close = request.close;
         let judge = front.contracts.current();
-        let watched = watch(front, &judge, &request);
-        let mut exchange = Exchange { front, stream: &mut stream, buffer: &mut buffer, judge };
+        let watched = hold_against(front, &judge, &request);
+        let (stream, buffer, overrun) = (&mut stream, &mut buffer, &mut overrun);
+        let mut exchange = Exchange { front, stream, buffer, overrun, judge };
         let path = request.target.split('?').next().unwrap_or("");
         let reply = match (crowded, front.kind) {
             _ if path == "/_health" => Ok(health(front, &request.method)),
@@ -108,8 +129,7 @@
                 let reason = watched.as_ref().err().map_or("", String::as_str);
                 Ok(refusal_of(front, 400, reason))
             }
-            (true, Kind::Platform) => Ok(platform::crowded()),
-            (true, Kind::OpenSearch) => Ok(opensearch::crowded()),
+            (true, _) => Ok(later(front, 503, "too many connections")),
             (false, Kind::Platform) => platform::answer(front, &request, arrived, &mut exchange).await,
             (false, Kind::OpenSearch) => opensearch::answer(front, &request, arrived, &mut exchange).await,
         };
@@ -118,23 +138,23 @@
             front.contracts.answered(watched, reply.status, reply.kind, &reply.extra, &reply.body);
         }
         let close = asked_to_close || crowded || stopping(*front.phase.borrow());
-        if !write(&mut stream, reply, close).await {
+        if !write(stream, reply, close).await {
             return;
         }
-        place.answered();
+        place.answered(front.clock.now());
         // Line ends behind a body are no request.
         let more = buffer.iter().any(|byte| !b"\r\n".contains(byte));
         ahead = ahead.filter(|_| more).or(more.then_some(begun));
         if !close && ahead.is_some_and(|since| since.elapsed() > AHEAD) {
-            let reply = refusal_of(front, 429, "one request at a time: the rest is refused");
-            let _ = write(&mut stream, reply.with("Retry-After", "1".into()), true).await;
-            return linger(front, &mut stream, &place).await;
+            let reply = later(front, http::Bad::Ahead.status(), http::Bad::Ahead.text());
+            let _ = write(stream, reply, true).await;
+            return linger(front, stream, &place, LINGER).await;
         }
         if close {
             // Closing with bytes unread would reset the connection under the answer. A client that didn't ask for the
             // end may have sent more.
             if !asked_to_close || !buffer.is_empty() {
-                linger(front, &mut stream, &place).await;
+                linger(front, stream, &place, LINGER).await;
             }
             return;
         }
@@ -148,8 +168,16 @@
     }
 }
 
+/// A refusal that says when to come back.
+fn later(front: &Front, status: u16, text: &str) -> Reply {
+    match front.kind {
+        Kind::Platform => platform::later(status, text, front.advice()),
+        Kind::OpenSearch => opensearch::later(status, text, front.advice()),
+    }
+}
+
 /// Holds a request against its front's description, if one is in force. `Err`: it must not be served.
-fn watch(front: &Front, judge: &Judge, request: &http::Request) -> Result<Option<Watched>, String> {
+fn hold_against(front: &Front, judge: &Judge, request: &http::Request) -> Result<Option<Watched>, String> {
     let Some(in_force) = judge else { return Ok(None) };
     let interface = match front.kind {
         Kind::Platform => Interface::Platform,
@@ -162,15 +190,25 @@
     matches!(phase, Phase::Drained | Phase::Stopping | Phase::Closing | Phase::Refusing)
 }
 
-/// The connection's next request; `None` at its end, or where it idles too long, its place is needed or the
-/// program closes. A first request has until `first` to come in.
+/// How a wait for a connection's next request ended.
+enum Next {
+    Request(http::Request),
+    /// Its client closed it.
+    Gone,
+    /// Nothing came for too long, its place is needed or the program closes: it is told of the end.
+    Rests,
+}
+
+/// The connection's next request. A first request has until `first` to come in. What lies behind the buffer was
+/// lost where there was an `overrun`.
 async fn next(
     front: &Front,
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
     place: &Place,
     first: Option<Instant>,
-) -> Result<Option<http::Request>, http::Bad> {
+    overrun: bool,
+) -> Result<Next, http::Bad> {
     let (mut phase, mut last_phase) = (front.phase.clone(), front.phase.clone());
     let mut continued = false;
     let (mut begun, rest) = (None, Instant::now() + IDLE);
@@ -178,12 +216,15 @@
         if let Some((request, used)) = http::request(buffer)? {
             place.asked(front.clock.now());
             buffer.drain(..used);
-            return Ok(Some(request));
+            return Ok(Next::Request(request));
+        }
+        if overrun {
+            return Err(http::Bad::Ahead);
         }
         if !continued && http::awaits_continue(buffer) {
             continued = true;
             if stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
-                return Ok(None);
+                return Ok(Next::Gone);
             }
         }
         let idle = buffer.is_empty();
@@ -211,25 +252,23 @@
             true => rest,
             false => *begun.get_or_insert_with(Instant::now) + SLOW,
         });
-        tokio::select! {
+        let bad = tokio::select! {
             biased;
             read = stream.read_buf(buffer) => match read {
-                Ok(0) | Err(_) => return Ok(None),
-                Ok(_) => {}
-            },
-            () = closing, if idle => return Ok(None),
-            () = ending, if !idle => return Err(http::Bad::Ending),
-            () = tokio::time::sleep_until(end) => match idle {
-                true => return Ok(None),
-                false => return Err(http::Bad::TooSlow),
+                Ok(0) | Err(_) => return Ok(Next::Gone),
+                Ok(_) => continue,
             },
-            () = place.needed(), if idle => {
-                // A request that is there already is served first.
-                tokio::task::yield_now().await;
-                if !matches!(stream.try_read_buf(buffer), Ok(bytes) if bytes > 0) {
-                    return Ok(None);
-                }
-            }
+            () = closing, if idle => None,
+            () = ending, if !idle => Some(http::Bad::Ending),
+            () = tokio::time::sleep_until(end) => (!idle).then_some(http::Bad::TooSlow),
+            () = place.needed(), if idle => None,
+        };
+        // A request that is there already is served first; what comes from now on crosses the end.
+        let came = link::look(stream, buffer);
+        match bad {
+            Some(bad) if !came || http::request(buffer)?.is_none() => return Err(bad),
+            None if !came => return Ok(Next::Rests),
+            _ => {}
         }
     }
 }
@@ -239,28 +278,15 @@
     matches!(tokio::time::timeout(UNREAD, stream.write_all(&bytes)).await, Ok(Ok(())))
 }
 
-/// Reads and drops what a client still sends, for a while or until its place is needed: closing with bytes unread
-/// would reset the connection under the answer.
-async fn linger(front: &Front, stream: &mut TcpStream, place: &Place) {
+/// Tells a client of the end, then reads and drops what it still sends, for a while or until its place is needed:
+/// closing with bytes unread would reset the connection under the answer. Nothing that is read from here on is served.
+async fn linger(front: &Front, stream: &mut TcpStream, place: &Place, most: Duration) {
     let _ = stream.shutdown().await;
-    place.idle(front.clock.now());
-    let drain = async {
-        let mut dropped = vec![0; 16 * 1024];
-        loop {
-            let mut left = DROPPED;
-            while left > 0 {
-                match stream.read(&mut dropped).await {
-                    Ok(bytes) if bytes > 0 => left = left.saturating_sub(bytes),
-                    _ => return,
-                }
-            }
-            tokio::time::sleep(DROP_PAUSE).await;
-        }
-    };
+    place.part(front.clock.now());
     tokio::select! {
-        () = drain => {}
+        () = exchange::discard(stream) => {}
         () = place.needed() => {}
-        () = tokio::time::sleep(LINGER) => {}
+        () = tokio::time::sleep(most) => {}
     }
 }
 
--- a/node/src/fronts/opensearch.rs
+++ b/node/src/fronts/opensearch.rs
@@ -1,7 +1,7 @@
 //! The query API: `_search` and `_msearch` in OpenSearch's form. An index is a class of query over a range of
 //! shards; each shard is one part.
 
-use super::exchange::{Exchange, Front, Reply, CROWDED_ADVICE};
+use super::exchange::{Exchange, Front, Reply};
 use crate::http;
 use crate::words::Index;
 use crate::words::{Answer, PartAnswer, PartSpec, Request, Text, Value};
@@ -524,9 +524,9 @@
     error(fault.0, fault.1, &fault.2)
 }
 
-pub fn crowded() -> Reply {
-    error(503, "rejected_execution_exception", "too many connections")
-        .with("Retry-After", whole_secs(CROWDED_ADVICE))
+/// A refusal for want of room, or of time to come in.
+pub fn later(status: u16, text: &str, advice: f64) -> Reply {
+    error(status, "rejected_execution_exception", text).with("Retry-After", whole_secs(advice))
 }
 
 pub fn error(status: u16, kind: &str, reason: &str) -> Reply {
--- a/node/src/fronts/places.rs
+++ b/node/src/fronts/places.rs
@@ -23,6 +23,9 @@
     /// Requests that came in and aren't answered, and when the last one came.
     serving: Cell<usize>,
     last_asked: Cell<Time>,
+    last_answered: Cell<Time>,
+    /// Connections whose clients were told of the end, and that are only read and dropped.
+    parted: Cell<usize>,
     /// The moment by which all is answered, once the program was told to stop.
     answered_by: Cell<Option<Time>>,
     next: Cell<u64>,
@@ -33,8 +36,16 @@
     pub fn take(self: &Rc<Self>) -> Place {
         self.open.set(self.open.get() + 1);
         let id = self.next.replace(self.next.get() + 1);
-        let (idle_since, used, serving) = (Cell::new(None), Cell::new(false), Cell::new(false));
-        Place { places: self.clone(), id, idle_since, used, serving, leave: Rc::default() }
+        let (used, serving, parted) = (Cell::new(false), Cell::new(false), Cell::new(false));
+        Place {
+            places: self.clone(),
+            id,
+            idle_since: Cell::new(None),
+            used,
+            serving,
+            parted,
+            leave: Rc::default(),
+        }
     }
 
     pub fn open(&self) -> usize {
@@ -43,8 +54,9 @@
 
     /// Connections that stand in the middle of a request, and what else a stop goes by.
     pub fn seen(&self) -> Seen {
-        let (last_asked, serving) = (self.last_asked.get(), self.serving.get());
-        Seen { last_asked, coming_in: self.busy().saturating_sub(serving), serving }
+        let (last_asked, last_answered) = (self.last_asked.get(), self.last_answered.get());
+        let (serving, staying) = (self.serving.get(), self.open.get() - self.parted.get());
+        Seen { last_asked, last_answered, coming_in: self.busy().saturating_sub(serving), serving, staying }
     }
 
     /// From now on no request gets longer than up to this moment.
@@ -86,6 +98,8 @@
     used: Cell<bool>,
     /// It isn't answered yet.
     serving: Cell<bool>,
+    /// Its client was told of the end.
+    parted: Cell<bool>,
     leave: Rc<Notify>,
 }
 
@@ -114,8 +128,23 @@
         }
     }
 
+    /// It is answered.
+    pub fn answered(&self, now: Time) {
+        self.places.last_answered.set(now);
+        self.released();
+    }
+
+    /// Its client was told of the end: what still comes is read and dropped, as long as the place isn't needed.
+    pub fn part(&self, now: Time) {
+        self.busy();
+        self.idle(now);
+        if !self.parted.replace(true) {
+            self.places.parted.set(self.places.parted.get() + 1);
+        }
+    }
+
     /// It is answered, or its client is gone.
-    pub fn answered(&self) {
+    fn released(&self) {
         if self.serving.replace(false) {
             self.places.serving.set(self.places.serving.get() - 1);
         }
@@ -136,45 +165,14 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.busy();
-        self.answered();
+        self.released();
+        if self.parted.get() {
+            self.places.parted.set(self.places.parted.get() - 1);
+        }
         self.places.open.set(self.places.open.get() - 1);
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_longest_idle_leaves_first_and_neither_the_young_nor_the_busy() {
-        let places = Rc::new(Places::default());
-        let at = Time::from_secs;
-        let held: Vec<Place> = (0..4).map(|_| places.take()).collect();
-        assert!(!places.make_room(at(9.0)), "nobody idles");
-        for (place, since) in held.iter().zip([3.0, 1.0, 2.0, 9.0]) {
-            place.idle(at(since));
-        }
-        held[1].busy();
-        assert_eq!((places.open(), places.busy()), (4, 1));
-        let left = |now: f64| {
-            places.make_room(at(now));
-            let idle = places.idle.borrow();
-            idle.keys().map(|(_, id)| *id).collect::<Vec<_>>()
-        };
-        assert_eq!((left(9.1), left(9.1), left(9.1)), (vec![0, 3], vec![3], vec![3]));
-        assert_eq!(left(9.3), Vec::<u64>::new());
-        // Of two that idle since the same moment, the one that was answered may leave sooner.
-        held[2].busy();
-        held[2].idle(at(10.0));
-        held[1].asked(at(9.9));
-        assert_eq!((places.seen().serving, places.seen().last_asked), (1, at(9.9)));
-        held[1].answered();
-        assert_eq!(places.seen().serving, 0);
-        held[1].idle(at(10.0));
-        assert_eq!((left(10.04), left(10.06)), (vec![1, 2], vec![2]));
-        held[1].busy();
-        held[2].busy();
-        drop(held);
-        assert_eq!((places.open(), places.busy()), (0, 0));
-    }
-}
+#[path = "places_tests.rs"]
+mod tests;
--- a/node/src/fronts/platform.rs
+++ b/node/src/fronts/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's own protocol: `POST /api` with the class and the deadline in header fields.
 
-use super::exchange::{decimal, Exchange, Front, Reply, CROWDED_ADVICE};
+use super::exchange::{decimal, Exchange, Front, Reply};
 use crate::http;
 use crate::words::{Answer, PartSpec, Request, Text, Value};
 use cairnroad::Time;
@@ -144,8 +144,9 @@
     }
 }
 
-pub fn crowded() -> Reply {
-    error(503, "too many connections").with("Retry-After", decimal(CROWDED_ADVICE))
+/// A refusal for want of room, or of time to come in.
+pub fn later(status: u16, text: &str, advice: f64) -> Reply {
+    error(status, text).with("Retry-After", decimal(advice))
 }
 
 pub fn error(status: u16, text: &str) -> Reply {
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -26,6 +26,8 @@
     TooSlow,
     /// It had not come in when the program had to end.
     Ending,
+    /// It was sent so far ahead of its answer that it was not kept.
+    Ahead,
 }
 
 impl Bad {
@@ -37,14 +39,20 @@
             Bad::BodyTooLarge => 413,
             Bad::TooSlow => 408,
             Bad::Ending => 503,
+            Bad::Ahead => 429,
         }
     }
+    /// Whether the same request may be served once it comes again.
+    pub fn passes(self) -> bool {
+        matches!(self, Bad::Ending | Bad::Ahead)
+    }
     pub fn text(self) -> &'static str {
         match self {
             Bad::Malformed(text) => text,
             Bad::HeadTooLarge => "the head is too large",
             Bad::BodyTooLarge => "the body is too large",
             Bad::TooSlow => "the request did not come in time",
+            Bad::Ahead => "one request at a time: the rest is refused",
             Bad::Ending => "this process ends: send the request again on a new connection",
         }
     }
--- a/node/src/link.rs
+++ b/node/src/link.rs
@@ -6,11 +6,15 @@
 use crate::words::{Attempt, Job, LinkEvent, Message, Value, What};
 use cairnroad::Outcome;
 use std::cell::Cell;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::{mpsc, Notify};
 
+/// The most that one look at a socket takes.
+const MOST_LOOK: usize = 128 * 1024;
+
 /// What the core asks of a connection.
 pub enum Command {
     /// Parts that make up one call.
@@ -113,3 +117,17 @@
         self.tell(What::Closed).await;
     }
 }
+
+/// Reads what lies in the socket at this very moment, whatever the runtime has heard of it. Whether that was anything.
+/// Guards against a close that crosses what has just come: it would be lost, and the connection reset.
+pub fn look(stream: &tokio::net::TcpStream, buffer: &mut Vec<u8>) -> bool {
+    let before = buffer.len();
+    let mut chunk = [0; 4096];
+    while buffer.len() - before < MOST_LOOK {
+        match (&*socket2::SockRef::from(stream)).read(&mut chunk) {
+            Ok(bytes) if bytes > 0 => buffer.extend_from_slice(&chunk[..bytes]),
+            _ => break,
+        }
+    }
+    buffer.len() > before
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -63,13 +63,15 @@
 
 fn run() -> ExitCode {
     let run = || -> Result<(), String> {
+        let stop = signals::Kept::new(signal_hook::consts::SIGTERM).map_err(|e| format!("SIGTERM: {e}"))?;
+        let hangups = signals::Kept::new(signal_hook::consts::SIGHUP).map_err(|e| format!("SIGHUP: {e}"))?;
         let config = config::load(variable)?;
         log::start(config.log.level, config.log.format);
         // Before anything else opens a descriptor or starts a thread.
         let inherited = config.inherited.map(inherit::listener).transpose()?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-        tokio::task::LocalSet::new().block_on(&runtime, serve(config, inherited))
+        tokio::task::LocalSet::new().block_on(&runtime, serve(config, inherited, stop, hangups))
     };
     match run() {
         Ok(()) => ExitCode::SUCCESS,
@@ -154,9 +156,14 @@
     contracts.adopt(read.map_err(|e| format!("reading descriptions: {e}"))?)
 }
 
-async fn serve(config: config::Config, inherited: Option<std::net::TcpListener>) -> Result<(), String> {
-    let mut stop = Signal::new(signal_hook::consts::SIGTERM).map_err(|e| format!("SIGTERM: {e}"))?;
-    let hangups = Signal::new(signal_hook::consts::SIGHUP).map_err(|e| format!("SIGHUP: {e}"))?;
+async fn serve(
+    config: config::Config,
+    inherited: Option<std::net::TcpListener>,
+    stop: signals::Kept,
+    hangups: signals::Kept,
+) -> Result<(), String> {
+    let mut stop = Signal::new(stop).map_err(|e| format!("SIGTERM: {e}"))?;
+    let hangups = Signal::new(hangups).map_err(|e| format!("SIGHUP: {e}"))?;
     let clock = Clock::new();
     let contracts = Rc::new(Contracts::new(clock.clone(), surface::pages(&config)));
     if !config.contracts.is_empty() {
@@ -165,6 +172,7 @@
     let (asks, asked) = mpsc::channel(stages::intake::QUEUE);
     let (to_core, messages) = mpsc::channel(MESSAGES);
     let (phase, phases) = watch::channel(Phase::Starting);
+    let (deaf, deafs) = watch::channel(false);
     let phase = Rc::new(phase);
     let places = Rc::new(fronts::places::Places::default());
     let (offer, offers) = watch::channel(config.offer.clone());
@@ -193,13 +201,13 @@
             names: Cell::new(config.seed),
             contracts: contracts.clone(),
         };
-        let mut phases = phases.clone();
+        let (mut phases, deaf) = (phases.clone(), deafs.clone());
         listeners.push(tokio::task::spawn_local(async move {
             // Whoever waits at a listener that two processes share is the old one's until this one can serve.
             if shared && phases.wait_for(|phase| *phase != Phase::Starting).await.is_err() {
                 return;
             }
-            fronts::listen(listener, Rc::new(front)).await;
+            fronts::listen(listener, Rc::new(front), deaf).await;
         }));
     }
     tell_classes(&config.offer);
@@ -241,7 +249,7 @@
         }
     }
     let core = tokio::task::spawn_local(core.run(config.offer.deployment.policy.tick));
-    tokio::task::spawn_local(reload(hangups, config, agent, contracts, to_core));
+    tokio::task::spawn_local(reload(hangups, config, agent, contracts, to_core.clone()));
     tokio::select! {
         _ = stop.recv() => {}
         end = core => return Err(format!("the core ended: {end:?}")),
@@ -251,9 +259,11 @@
     if shared {
         listeners.iter().for_each(|listener| listener.abort());
     }
-    let longest = offers.borrow().deployment.offered().map(|(.., class)| class.deadline).fold(0.0, f64::max);
+    let longest = offers.borrow().deployment.longest_deadline();
     let mut stop = Stop::new(clock.now(), longest);
     places.answer_by(stop.answered_by());
+    // What is open already may have longer than that.
+    let _ = to_core.send(Message::EndBy(stop.answered_by())).await;
     loop {
         let step = stop.step(clock.now(), places.seen());
         let next = match step {
@@ -263,7 +273,7 @@
         };
         phase.send_if_modified(|phase| std::mem::replace(phase, next) != next);
         if step >= Step::Deaf {
-            listeners.iter().for_each(|listener| listener.abort());
+            deaf.send_replace(true);
         }
         if step == Step::Over {
             break;
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -10,6 +10,7 @@
 use crate::words::{Attempt, Ended, Job, LinkEvent, Message, Row, What};
 use cairnroad::{Outcome, ServerId, ServerState, Time};
 use cairnroad_settings::Deployment;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -95,7 +96,7 @@
 
 /// Silence, in seconds, after which a connection gets nothing new.
 fn silent(deployment: &Deployment) -> f64 {
-    deployment.offered().map(|(.., class)| class.aim).fold(1.0, f64::min) * SILENT_SHARE
+    deployment.shortest_aim() * SILENT_SHARE
 }
 
 pub struct Pool {
@@ -115,8 +116,8 @@
     next: u64,
     nodes: BTreeMap<ServerId, Node>,
     links: BTreeMap<u64, Link>,
-    /// On which connection each attempt is out.
-    out: BTreeMap<Attempt, u64>,
+    /// On which connection each attempt is out, and whether it is still to be sent.
+    out: BTreeMap<Attempt, (u64, Rc<Cell<bool>>)>,
     staged: BTreeMap<ServerId, Vec<Job>>,
 }
 
@@ -215,7 +216,7 @@
                 tally.add(Count::Calls);
                 for job in &call {
                     link.out.insert(job.attempt);
-                    self.out.insert(job.attempt, id);
+                    self.out.insert(job.attempt, (id, job.wanted.clone()));
                 }
                 link.used = now;
                 link.owe(now);
@@ -324,7 +325,8 @@
         for jobs in self.staged.values_mut() {
             jobs.retain(|job| job.attempt != attempt);
         }
-        let Some(id) = self.out.remove(&attempt) else { return };
+        let Some((id, wanted)) = self.out.remove(&attempt) else { return };
+        wanted.set(false);
         let Some(link) = self.links.get_mut(&id) else { return };
         link.out.remove(&attempt);
         link.used = now;
@@ -336,6 +338,16 @@
         link.let_off(now);
     }
 
+    /// Nobody waits for an attempt any more: it isn't sent if that has not begun. Its server isn't told.
+    pub fn unwant(&mut self, attempt: Attempt) {
+        for jobs in self.staged.values_mut() {
+            jobs.retain(|job| job.attempt != attempt);
+        }
+        if let Some((_, wanted)) = self.out.get(&attempt) {
+            wanted.set(false);
+        }
+    }
+
     /// An attempt's time is up. Whether it was still out.
     pub fn abandon(&mut self, attempt: Attempt) -> bool {
         let out = self.out.contains_key(&attempt);
@@ -415,164 +427,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::words::Text;
-    use cairnroad::RequestId;
-
-    /// Runs a test with a pool whose one server the test plays.
-    fn before_a_server<F: std::future::Future>(
-        test: impl FnOnce(tokio::net::TcpListener, Pool, mpsc::Receiver<Message>, Clock) -> F,
-    ) {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        tokio::task::LocalSet::new().block_on(&runtime, async {
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let (to_core, messages) = mpsc::channel(16);
-            let clock = Clock::new();
-            let config = crate::config::tests::sample();
-            let contracts = Rc::new(Contracts::new(clock.clone(), Default::default()));
-            let mut pool = Pool::new(&config, contracts, clock.clone(), to_core);
-            pool.note_list(&list(listener.local_addr().unwrap(), ServerState::Ready), true);
-            test(listener, pool, messages, clock).await;
-        });
-    }
-
-    fn tally() -> Tally {
-        Tally::new(0.0, Time(0))
-    }
-
-    fn list(address: SocketAddr, state: ServerState) -> Vec<(ServerId, Row)> {
-        let row = Row {
-            id: "s".into(),
-            address,
-            cell: 0,
-            zone: 0,
-            state,
-            size: 1.0,
-            weight: 1.0,
-            generation: 0,
-            ready_at: None,
-        };
-        vec![(ServerId(0), row)]
-    }
-
-    fn job(attempt: Attempt, clock: &Clock) -> Job {
-        let (name, class) = (format!("q{}", attempt.part.0).into(), "c".into());
-        let (text, until) = (Text::Plain("t".into()), clock.now() + 9.0);
-        Job { attempt, name, class, shard: 0, text, until, judge: None }
-    }
-
-    /// Guards against a table smaller than the cycle of turns: closing the connection used longest ago closes the
-    /// one whose turn is next.
-    #[test]
-    fn room_is_made_by_the_idle_connection_used_last() {
-        before_a_server(|listener, mut pool, _messages, _clock| async move {
-            let address = listener.local_addr().unwrap();
-            let link = |server: u32, used: f64, busy: bool| {
-                let out = if busy {
-                    BTreeSet::from([Attempt { part: RequestId(9), number: 0 }])
-                } else {
-                    BTreeSet::new()
-                };
-                let (commands, _) = mpsc::channel(1);
-                let shared = Rc::new(Shared::default());
-                let (unheard, owes_since, retired, up) = (0.0, None, false, true);
-                let used = Time::from_secs(used);
-                Link {
-                    server: ServerId(server),
-                    address,
-                    commands,
-                    shared,
-                    up,
-                    out,
-                    used,
-                    unheard,
-                    owes_since,
-                    retired,
-                }
-            };
-            for (id, (server, used, busy)) in
-                [(0, 1.0, false), (1, 3.0, false), (2, 4.0, true), (3, 2.0, false)].into_iter().enumerate()
-            {
-                pool.links.insert(id as u64, link(server, used, busy));
-            }
-            assert!(pool.close_an_idle_one());
-            let closed: Vec<u32> =
-                pool.links.values().filter(|link| link.retired).map(|link| link.server.0).collect();
-            assert_eq!(closed, [1], "the idle one used last; a busy one stays");
-        });
-    }
-
-    /// Guards against a connection that fell silent and stays in use because each part on it is cancelled before
-    /// its silence has lasted.
-    #[test]
-    fn a_cancel_does_not_excuse_a_connections_silence() {
-        before_a_server(|listener, mut pool, mut messages, clock| async move {
-            let _silent = listener;
-            let start = clock.now();
-            // When each part is sent and cancelled, and whether it takes a new connection. The sample's aim is 1 s.
-            let mut turns = vec![(0.0, 0.15, true), (5.0, 5.05, false), (6.0, 6.1, false), (7.0, 7.1, true)];
-            for (number, (sent, cancelled, dials)) in turns.drain(..).enumerate() {
-                let attempt = Attempt { part: RequestId(number as u64), number: 0 };
-                pool.stage(ServerId(0), job(attempt, &clock));
-                assert_eq!(
-                    pool.flush(start + sent, &mut tally()).1.len(),
-                    usize::from(dials),
-                    "part {number}"
-                );
-                if dials {
-                    let Some(Message::Link(event)) = messages.recv().await else { panic!("no connection") };
-                    assert!(matches!(event.what, What::Up));
-                    pool.note(start + sent, event);
-                }
-                pool.cancel(start + cancelled, attempt);
-            }
-        });
-    }
-
-    /// Guards against calls on a connection whose server stopped in the middle of an answer: they would be lost with
-    /// it, though they need never be written there.
-    #[test]
-    fn a_connection_in_the_middle_of_an_answer_gets_nothing_new() {
-        use tokio::io::{AsyncReadExt, AsyncWriteExt};
-        before_a_server(|listener, mut pool, mut messages, clock| async move {
-            let now = clock.now();
-            let send = |pool: &mut Pool, number| {
-                pool.stage(ServerId(0), job(Attempt { part: RequestId(number), number: 0 }, &clock));
-                pool.flush(now, &mut tally()).1.len()
-            };
-            assert_eq!(send(&mut pool, 1), 1);
-            let (mut server, _) = listener.accept().await.unwrap();
-            let Some(Message::Link(up)) = messages.recv().await else { panic!("no connection") };
-            pool.note(now, up);
-            assert_eq!(send(&mut pool, 2), 0);
-            server.read_exact(&mut [0; 30]).await.unwrap();
-            server.write_all(b"\0\0\0\x20Aq1.0 ok 1 -\nhalf").await.unwrap();
-            // No new connection is dialled as long as the old one is taken.
-            let mut number = 3;
-            while send(&mut pool, number) == 0 {
-                pool.cancel(now, Attempt { part: RequestId(number), number: 0 });
-                tokio::task::yield_now().await;
-                number += 1;
-            }
-            let link = pool.links.values().next().unwrap();
-            assert!(link.shared.spent.get() && link.silence(now) == 0.0, "not for its silence");
-        });
-    }
-
-    /// Guards against a frame that waits behind a dial and leaves after the grace of its server's drain.
-    #[test]
-    fn a_call_queued_behind_a_dial_is_not_sent_once_its_server_drains() {
-        before_a_server(|listener, mut pool, mut messages, clock| async move {
-            let address = listener.local_addr().unwrap();
-            let attempt = Attempt { part: RequestId(2), number: 0 };
-            pool.stage(ServerId(0), job(attempt, &clock));
-            let (failed, dials) = pool.flush(clock.now(), &mut tally());
-            assert_eq!((failed.len(), dials.len()), (0, 1));
-            pool.note_list(&list(address, ServerState::Draining), false);
-            let Some(Message::Link(event)) = messages.recv().await else { panic!("no outcome") };
-            let Some(Brought::Attempt(ended)) = pool.note(clock.now(), event) else { panic!("no attempt") };
-            assert_eq!((ended.attempt, ended.outcome), (attempt, Outcome::ConnectFailed));
-        });
-    }
-}
+#[path = "pool_tests.rs"]
+mod tests;
--- a/node/src/stages/book.rs
+++ b/node/src/stages/book.rs
@@ -2,17 +2,26 @@
 
 use crate::config::Config;
 use crate::words::{Answer, Ask, Attempt, Ended, Job, PartAnswer, PartSpec, Request, Value};
-use cairnroad::{Outcome, RequestId, Time};
+use cairnroad::{Class, Effect, Outcome, RequestId, Time};
 use cairnroad_settings::Deployment;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
 /// How long before its end a request counts as late, in seconds: ends come some ticks early.
 const LATE: f64 = 0.05;
-/// How long a request's name is remembered, in seconds: longer than it can be open, and long enough for a part that
-/// was given up to be answered after all. A name is fresh for each request, a retry included.
+/// How long a request's name is remembered, in seconds, and in longest deadlines if that is more: longer than it can be
+/// open, and long enough for a part that was given up to be answered after all. A name is fresh for each request, a
+/// retry included.
 const NAME_KEPT: f64 = 10.0;
+const NAME_KEPT_DEADLINES: f64 = 2.0;
+/// No attempt at a part of a class with a window leaves later than this before the window ends, as a share of it and in
+/// ticks if that is more: it has a way to go. That holds for the first one, too, which may wait for its connection while
+/// a copy runs.
+const WINDOW_MARGIN: f64 = 0.02;
+const WINDOW_MARGIN_TICKS: f64 = 2.0;
 
 /// An open request.
 pub struct Open {
@@ -45,6 +54,18 @@
     }
 }
 
+/// An open part.
+struct OpenPart {
+    query: RequestId,
+    /// Its place in its query.
+    at: usize,
+    attempts: u8,
+    /// How many of them are proven never to have run.
+    never_ran: u8,
+    /// When the first one was sent that may have run or may yet.
+    first_sent: Time,
+}
+
 /// All that is open.
 #[derive(Default)]
 pub struct Book {
@@ -52,8 +73,12 @@
     classes: Vec<Arc<str>>,
     next: u64,
     queries: BTreeMap<RequestId, Open>,
-    /// Each open part's query, its place in it, and how many attempts it had.
-    parts: BTreeMap<RequestId, (RequestId, usize, u8)>,
+    parts: BTreeMap<RequestId, OpenPart>,
+    /// Each class's window for further attempts, in seconds less the margin; `None` where it has none.
+    windows: Vec<Option<f64>>,
+    name_kept: f64,
+    /// Attempts of requests that ended, which nobody waits for any more.
+    unwanted: Vec<Attempt>,
     /// The names taken of late, and when each was.
     names: BTreeSet<Arc<str>>,
     taken: VecDeque<(Time, Arc<str>)>,
@@ -70,6 +95,13 @@
     pub fn retune(&mut self, deployment: &Deployment) {
         self.cap = deployment.open_cap;
         self.classes.resize(deployment.class_names.len(), "".into());
+        let (policy, longest) = (&deployment.policy, deployment.longest_deadline());
+        self.name_kept = NAME_KEPT.max(NAME_KEPT_DEADLINES * longest);
+        let window = |class: &Class| {
+            let margin = (WINDOW_MARGIN * class.window).max(WINDOW_MARGIN_TICKS * policy.tick);
+            (class.effect == Effect::Keyed).then_some(class.window - margin)
+        };
+        self.windows = policy.classes.iter().map(window).collect();
         for (place, name, _) in deployment.offered() {
             self.classes[place] = name.into();
         }
@@ -92,12 +124,12 @@
 
     /// How many attempts an open part has had.
     pub fn attempts(&self, part: RequestId) -> u8 {
-        self.parts.get(&part).map_or(0, |&(_, _, attempts)| attempts)
+        self.parts.get(&part).map_or(0, |part| part.attempts)
     }
 
     /// Opens a request: its id, and its parts' ids.
     pub fn open(&mut self, now: Time, ask: Ask) -> (RequestId, Vec<(RequestId, PartSpec)>) {
-        while self.taken.front().is_some_and(|(at, _)| now - *at > NAME_KEPT) {
+        while self.taken.front().is_some_and(|(at, _)| now - *at > self.name_kept) {
             if let Some((_, name)) = self.taken.pop_front() {
                 self.names.remove(&name);
             }
@@ -108,7 +140,8 @@
         let parts: Vec<_> = (id.0 + 1..).map(RequestId).zip(ask.request.parts.iter().cloned()).collect();
         self.next += 1 + parts.len() as u64;
         for (at, (part, _)) in parts.iter().enumerate() {
-            self.parts.insert(*part, (id, at, 0));
+            let first_sent = Time::default();
+            self.parts.insert(*part, OpenPart { query: id, at, attempts: 0, never_ran: 0, first_sent });
         }
         let ids = parts.iter().map(|(part, _)| *part).collect();
         let open =
@@ -121,11 +154,17 @@
     pub fn close(&mut self, id: RequestId) -> Option<Open> {
         let open = self.queries.remove(&id)?;
         for part in &open.parts {
-            self.parts.remove(part);
+            let attempts = self.parts.remove(part).map_or(0, |part| part.attempts);
+            self.unwanted.extend((0..attempts).map(|number| Attempt { part: *part, number }));
         }
         Some(open)
     }
 
+    /// The attempts of requests that ended since the last call. None that is still to be sent may leave.
+    pub fn take_unwanted(&mut self) -> Vec<Attempt> {
+        std::mem::take(&mut self.unwanted)
+    }
+
     /// The requests whose clients are gone.
     pub fn lost_clients(&self) -> Vec<RequestId> {
         self.queries.iter().filter(|(_, open)| open.reply.is_closed()).map(|(&id, _)| id).collect()
@@ -133,8 +172,10 @@
 
     /// Notes how an attempt ended. The first value stands.
     pub fn note(&mut self, ended: &Ended) {
-        let Some((query, ..)) = self.parts.get(&ended.attempt.part) else { return };
-        let Some(open) = self.queries.get_mut(query) else { return };
+        let Some(part) = self.parts.get_mut(&ended.attempt.part) else { return };
+        let never = matches!(ended.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        part.never_ran += u8::from(never);
+        let Some(open) = self.queries.get_mut(&part.query) else { return };
         open.ends += 1;
         let result = match (ended.outcome, &ended.value) {
             (Outcome::Ok, Some(value)) => Ok(value.clone()),
@@ -151,15 +192,23 @@
     }
 
     /// The next attempt of an open part, as a backend sends it. Attempts are numbered as the decisions do.
-    pub fn job(&mut self, part: RequestId, until: Time) -> Option<Job> {
-        let (query, at, attempts) = self.parts.get_mut(&part)?;
-        let (request, at, number) = (&self.queries.get(query)?.request, *at, *attempts);
-        *attempts += 1;
+    pub fn job(&mut self, now: Time, part: RequestId, until: Time) -> Option<Job> {
+        let open = self.parts.get_mut(&part)?;
+        let request = &self.queries.get(&open.query)?.request;
+        if open.attempts == open.never_ran {
+            open.first_sent = now;
+        }
+        let window = self.windows.get(request.class).copied().flatten();
+        let send_by = window.map(|window| open.first_sent + window);
+        let number = open.attempts;
+        open.attempts += 1;
         Some(Job {
             attempt: Attempt { part, number },
+            wanted: Rc::new(Cell::new(true)),
+            send_by,
             name: request.name.clone(),
             class: self.classes.get(request.class)?.clone(),
-            shard: request.parts.get(at)?.shard,
+            shard: request.parts.get(open.at)?.shard,
             text: request.text.clone(),
             until,
             judge: request.judge.clone(),
--- a/node/src/stages/intake.rs
+++ b/node/src/stages/intake.rs
@@ -5,9 +5,6 @@
 
 /// Requests that may wait for the core's next tick.
 pub const QUEUE: usize = 256;
-/// Advice for a request that finds the queue full, in seconds.
-const FULL_ADVICE: f64 = 1.0;
-
 /// The core's end.
 pub struct Intake(mpsc::Receiver<Ask>);
 
@@ -23,12 +20,12 @@
 }
 
 /// A front's end: hands a request over and returns where its answer will come. With the queue full, that is a
-/// refusal at once.
-pub fn hand_over(core: &mpsc::Sender<Ask>, request: Request) -> oneshot::Receiver<Answer> {
+/// refusal at once, with this advice in seconds.
+pub fn hand_over(core: &mpsc::Sender<Ask>, request: Request, advice: f64) -> oneshot::Receiver<Answer> {
     let (reply, answer) = oneshot::channel();
     if let Err(fault) = core.try_send(Ask { request, reply }) {
         let (mpsc::error::TrySendError::Full(ask) | mpsc::error::TrySendError::Closed(ask)) = fault;
-        let _ = ask.reply.send(Answer::Refused { retry_after: FULL_ADVICE, busy: true });
+        let _ = ask.reply.send(Answer::Refused { retry_after: advice, busy: true });
     }
     answer
 }
--- a/node/src/stages/mod.rs
+++ b/node/src/stages/mod.rs
@@ -29,8 +29,10 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
-/// How often idle connections are looked for, in seconds.
+/// How often idle connections are looked for, in seconds; and in shares of the time after which their other side closes
+/// them, if that is less: each must be found before that.
 const SWEEP: f64 = 0.5;
+const SWEEP_SHARE: f64 = 0.1;
 
 /// How long a fresh list is waited for before a cached one will do.
 const FRESH_LIST: f64 = 1.0;
@@ -63,6 +65,7 @@
     fresh_list: bool,
     tally: Tally,
     warm_up: f64,
+    sweep: f64,
     bans: Bans,
     /// Where bans are kept; `None` without a door for operators.
     shelf: Option<Shelf>,
@@ -82,7 +85,8 @@
     ) -> Self {
         let now = clock.now();
         let mut wheel = Wheel::new(now, config.offer.deployment.policy.tick);
-        wheel.insert(now + SWEEP, Due::Sweep);
+        let sweep = SWEEP.min(SWEEP_SHARE * config.offer.deployment.keepalive);
+        wheel.insert(now + sweep, Due::Sweep);
         let mut core = Core {
             clock: clock.clone(),
             intake: intake::Intake::new(asks),
@@ -99,6 +103,7 @@
             fresh_list: false,
             tally: Tally::new(f64::from(config.log.tally_s), now),
             warm_up: config.offer.deployment.policy.warm_up,
+            sweep,
             bans: Bans::default(),
             shelf: config.admin.map(|_| Shelf::new(config.passing.as_deref(), &config.name)),
             peers: None,
@@ -143,6 +148,7 @@
                     let _ = reply.send(self.operate(now, call));
                 }
                 Message::Advice(ids) => self.advised(&ids),
+                Message::EndBy(moment) => self.route.end_by(moment),
                 Message::Retune(fresh, reply) => {
                     let _ = reply.send(self.retune(*fresh));
                 }
@@ -159,7 +165,7 @@
                 Due::Dial(link) => self.pool.dial_is_due(link),
                 Due::Sweep => {
                     self.pool.sweep(now);
-                    self.wheel.insert(now + SWEEP, Due::Sweep);
+                    self.wheel.insert(now + self.sweep, Due::Sweep);
                 }
                 Due::Look => self.look(now),
                 Due::TellDoubts => self.tell_doubts(now),
@@ -184,6 +190,9 @@
                     send::carry(now, &action, &mut self.book, &mut self.pool, &mut self.wheel);
                 }
             }
+            for attempt in self.book.take_unwanted() {
+                self.pool.unwant(attempt);
+            }
             for ended in send::flush(now, &mut self.pool, &mut self.wheel, &mut self.tally) {
                 self.ended(ended);
             }
--- a/node/src/stages/route.rs
+++ b/node/src/stages/route.rs
@@ -53,6 +53,12 @@
         self.aggregator.doubted_lately(now, secs)
     }
 
+    /// No query that is open gets longer than up to this moment.
+    pub fn end_by(&mut self, moment: Time) {
+        self.aggregator.end_by(moment);
+        self.events.push(Event::Wake);
+    }
+
     /// How many servers the decisions know.
     #[cfg(test)]
     pub fn servers(&self) -> usize {
--- a/node/src/stages/send.rs
+++ b/node/src/stages/send.rs
@@ -11,7 +11,7 @@
 pub fn carry(now: Time, action: &Action, book: &mut Book, pool: &mut Pool, wheel: &mut Wheel<Due>) {
     match *action {
         Action::Send { part, server, until } => {
-            if let Some(job) = book.job(part, until) {
+            if let Some(job) = book.job(now, part, until) {
                 wheel.insert(until, Due::Attempt(job.attempt));
                 pool.stage(server, job);
             }
--- a/node/src/words.rs
+++ b/node/src/words.rs
@@ -5,7 +5,9 @@
 use cairnroad_contract::decide::InForce;
 use cairnroad_operate::call::{Call, Verdict};
 use cairnroad_settings::Deployment;
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
@@ -107,6 +109,12 @@
 /// An attempt as a backend sends it.
 #[derive(Clone, Debug)]
 pub struct Job {
+    /// Whether it is still to be sent. The core takes that back at once, wherever the job waits: behind a dial, or
+    /// behind other frames.
+    pub wanted: Rc<Cell<bool>>,
+    /// The moment from which on it must not be sent any more, where its class sets one: a part that may have run is sent
+    /// again only so long after.
+    pub send_by: Option<Time>,
     pub attempt: Attempt,
     /// The request's name, the class's name and the shard.
     pub name: Arc<str>,
@@ -117,6 +125,13 @@
     pub judge: Judge,
 }
 
+impl Job {
+    /// Whether it may begin to be sent now.
+    pub fn may_be_sent(&self, now: Time) -> bool {
+        self.wanted.get() && self.send_by.is_none_or(|by| now < by)
+    }
+}
+
 /// How an attempt ended, and what it brought.
 #[derive(Clone, Debug)]
 pub struct Ended {
@@ -179,6 +194,8 @@
     Operate(Call, oneshot::Sender<Verdict>),
     /// The data nodes that peers doubt.
     Advice(Vec<String>),
+    /// Every request has to have its final answer by this moment: the program is told to stop.
+    EndBy(Time),
     /// Other settings, the indices that go by their classes, and where it is told what became of them.
     Retune(Box<Offer>, oneshot::Sender<Result<Arc<Offer>, String>>),
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! both forms; and the program itself, started as a user would.
 #![allow(dead_code)]
 
+pub mod script;
+
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -140,13 +142,13 @@
     format!("value {text_marker}/{shard} \"quoted\" \u{96ea}")
 }
 
-fn read_exact(stream: &mut TcpStream, length: usize) -> Option<Vec<u8>> {
+pub fn read_exact(stream: &mut TcpStream, length: usize) -> Option<Vec<u8>> {
     let mut bytes = vec![0; length];
     stream.read_exact(&mut bytes).ok()?;
     Some(bytes)
 }
 
-fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
+pub fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
     let mut frame = (rest.len() as u32 + 1).to_be_bytes().to_vec();
     frame.push(letter);
     frame.extend_from_slice(rest);
@@ -434,6 +436,13 @@
         }
     }
 
+    /// Replaces its list.
+    pub fn set_members(&self, members: Vec<Value>) {
+        let mut list = self.state.0.lock().unwrap();
+        *list = (list.0 + 1, members);
+        self.state.1.notify_all();
+    }
+
     pub fn set_phase(&self, server: usize, phase: &str) {
         let mut list = self.state.0.lock().unwrap();
         list.0 += 1;
@@ -482,6 +491,8 @@
     pub door: bool,
     /// The clients' listening socket, inherited as descriptor 5.
     pub socket: Option<&'a TcpListener>,
+    /// How many descriptors the process may hold.
+    pub descriptors: Option<usize>,
 }
 
 /// A program that has begun to listen.
@@ -515,7 +526,18 @@
     /// With what the platform gives on the days of operation.
     pub fn operated(stage: Arc<Stage>, given: Given) -> Rig {
         let members = members(Wire::Platform, &stage);
-        Self::start_given(Wire::Platform, stage, (1000, 1024), members, "", &[], given)
+        Self::start_given(Wire::Platform, stage, (1000, 1024), members, "", &[], given, |_| ())
+    }
+
+    /// With another configuration than the usual one, as another customer's.
+    pub fn tuned(stage: Arc<Stage>, members: Vec<Value>, tune: impl FnOnce(&mut Value)) -> Rig {
+        Self::start_given(Wire::Platform, stage, (1000, 1024), members, "", &[], Given::default(), tune)
+    }
+
+    /// The same, within so many descriptors.
+    pub fn confined(stage: Arc<Stage>, members: Vec<Value>, descriptors: usize) -> Rig {
+        let given = Given { descriptors: Some(descriptors), ..Given::default() };
+        Self::start_given(Wire::Platform, stage, (1000, descriptors), members, "", &[], given, |_| ())
     }
 
     /// With more in the project's own file, and further files beside it.
@@ -527,9 +549,11 @@
         more: &str,
         files: &[(&str, &str)],
     ) -> Rig {
-        Self::start_given(servers, stage, (open_cap, sockets), members, more, files, Given::default())
+        let given = Given::default();
+        Self::start_given(servers, stage, (open_cap, sockets), members, more, files, given, |_| ())
     }
 
+    #[allow(clippy::too_many_arguments)] // all that a test may say of its surroundings
     fn start_given(
         servers: Wire,
         stage: Arc<Stage>,
@@ -538,6 +562,7 @@
         more: &str,
         files: &[(&str, &str)],
         given: Given,
+        tune: impl FnOnce(&mut Value),
     ) -> Rig {
         let discovery = Discovery::new(members);
         let number = RIGS.fetch_add(1, Ordering::Relaxed);
@@ -559,9 +584,10 @@
                 "streamsPerConn": 32},
             "safety": {"coldFrom": 0.23, "warmUpS": 16.0, "stopSendingWithinS": 0.25, "fallMultiple": 2.5,
                 "fallS": 1.0}});
-        let config = json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
+        let mut config = json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "settings": settings});
+        tune(&mut config);
         std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
         let kind = if servers == Wire::Platform { "frames" } else { "opensearch" };
         let own = format!(
@@ -589,6 +615,10 @@
             command.args(["-c", "exec 5<&0 </dev/null; exec \"$0\"", program]).env("NODE_INHERITED_FD", "5");
             command.stdin(Stdio::from(std::os::fd::OwnedFd::from(socket.try_clone().unwrap())));
         }
+        if let Some(most) = given.descriptors {
+            command = Command::new("sh");
+            command.args(["-c", &format!("ulimit -n {most}; exec \"$0\""), program]);
+        }
         if given.door {
             command.env("NODE_ADMIN", "127.0.0.1:0").env("TMPDIR", folder);
         }
@@ -623,7 +653,7 @@
         Started { child, platform: bound["platform"], opensearch: bound["opensearch"], admin, log }
     }
 
-    fn wait_until_ready(&self) {
+    pub fn wait_until_ready(&self) {
         while self.call(self.platform, "GET /_health", &[], "").status != 200 {
             thread::sleep(Duration::from_millis(5));
         }
@@ -702,6 +732,23 @@
     }
 }
 
+/// Waits for something that has to come, for as long as any machine may need.
+pub fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
+    let start = std::time::Instant::now();
+    while !done() {
+        assert!(start.elapsed() < Duration::from_secs(20), "{what} did not come");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// A request of one part at shard 1, as its bytes.
+pub fn one_part(id: &str, class: &str, deadline: f64, q: &str) -> String {
+    let body = json!({"shards": [{"shard": 1, "weight": 1.0}], "q": q}).to_string();
+    let head =
+        format!("POST /api HTTP/1.1\r\nX-Request-Id: {id}\r\nX-Class: {class}\r\nX-Deadline: {deadline}\r\n");
+    format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
 pub fn signal(child: &Child, name: &str) {
     let sent = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
     assert!(sent.unwrap().success());
--- a/node/tests/operation.rs
+++ b/node/tests/operation.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const DOOR: Given = Given { door: true, socket: None };
+const DOOR: Given = Given { door: true, socket: None, descriptors: None };
 
 fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
     let start = Instant::now();
@@ -155,7 +155,7 @@
 #[test]
 fn a_process_is_replaced_under_load_and_its_bans_hold() {
     let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let given = Given { door: true, socket: Some(&socket) };
+    let given = Given { door: true, socket: Some(&socket), descriptors: None };
     let mut rig = Rig::operated(Stage::new(|_, _, _| Act::Late(20)), given);
     let address = rig.platform;
     assert_eq!(rig.operate("PUT /v1/data-nodes/s-0/suspend"), 200);
@@ -206,7 +206,7 @@
 #[test]
 fn of_two_processes_only_one_that_can_serve_takes_clients() {
     let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let given = Given { door: true, socket: Some(&socket) };
+    let given = Given { door: true, socket: Some(&socket), descriptors: None };
     let stage = Stage::new(|marker, _, _| if marker == 2 { Act::Late(1500) } else { Act::Serve });
     let mut rig = Rig::operated(stage, given);
     let path = rig.folder.join("config.json");
--- a/node/tests/serving.rs
+++ b/node/tests/serving.rs
@@ -10,14 +10,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !done() {
-        assert!(start.elapsed() < Duration::from_secs(20), "{what} did not come");
-        thread::sleep(Duration::from_millis(5));
-    }
-}
-
 #[test]
 fn bad_requests_are_told_apart() {
     let rig = Rig::start(Wire::Platform, Stage::new(|_, _, _| Act::Serve), 1000);
--- a/operate/src/stop.rs
+++ b/operate/src/stop.rs
@@ -1,8 +1,9 @@
-//! The order to stop (SIGTERM): what is done when, so that nothing that was taken is lost.
+//! The order to stop (SIGTERM), a graceful shutdown: what is done when, so that nothing that was taken is lost.
 //!
 //! Clients go on sending on every connection that stays open until the program is killed, and new connections keep
 //! coming for a while. So idle connections are closed, then nobody is accepted any more, then those who stand in the
-//! middle of a request are refused, and the program ends once all is answered.
+//! middle of a request are refused, and the program ends once all is answered. When the kill comes follows from the
+//! deployment's deadlines, and every phase is over before it.
 
 use cairnroad::Time;
 
@@ -12,13 +13,19 @@
 /// the program is killed, and what is unanswered then is lost.
 const EARLIEST_DEAF: f64 = 0.9;
 const LATEST_DEAF: f64 = 1.2;
+/// The same, counted back from the kill: with short deadlines it comes sooner, and what is accepted last needs its time.
+const EARLIEST_DEAF_BEFORE: f64 = 0.5;
+const LATEST_DEAF_BEFORE: f64 = 0.4;
 /// For how long no request may have come before that.
 const QUIET: f64 = 0.4;
 /// For how long after that the rest of a request that has begun to come is waited for. What comes in pieces comes
 /// within this, and a request that comes much later could not be answered before the kill.
 const HALF_SENT: f64 = 0.3;
-/// How long a refused one is given to read its refusal, at least.
+/// How long a client is given to read what it was told last, at least. A process that ends sooner resets its
+/// connections where bytes lie unread, and the answer goes with them.
 const LAST_WORDS: f64 = 0.05;
+/// How long connections on which nothing came are waited for at the end: they are closed by then.
+const STAYING: f64 = 0.3;
 /// The kill comes no sooner than the longest deadline, counted as this where it is longer, and this after the order.
 const LONGEST_COUNTED: f64 = 3.0;
 const KILLED_AFTER: f64 = 0.7;
@@ -45,10 +52,14 @@
 pub struct Seen {
     /// When the last request came.
     pub last_asked: Time,
+    /// When the last answer, or refusal, was written.
+    pub last_answered: Time,
     /// Connections that stand in the middle of a request.
     pub coming_in: usize,
     /// Requests that came and aren't answered.
     pub serving: usize,
+    /// Connections whose clients have not been told of the end.
+    pub staying: usize,
 }
 
 /// One order to stop, from its moment on.
@@ -57,29 +68,43 @@
     ordered: Time,
     step: Step,
     since: Time,
-    longest: f64,
+    /// Seconds from the order to the kill, at the soonest.
+    kill: f64,
 }
 
 impl Stop {
     /// The order came now; `longest` is the longest deadline of all classes, in seconds.
     pub fn new(now: Time, longest: f64) -> Stop {
-        Stop { ordered: now, step: Step::Serving, since: now, longest }
+        Stop {
+            ordered: now,
+            step: Step::Serving,
+            since: now,
+            kill: longest.min(LONGEST_COUNTED) + KILLED_AFTER,
+        }
     }
 
     /// The moment by which every request has to have its final answer.
     pub fn answered_by(&self) -> Time {
-        self.ordered + (self.longest.min(LONGEST_COUNTED) + KILLED_AFTER - KILL_MARGIN)
+        self.ordered + (self.kill - KILL_MARGIN)
     }
 
     /// What is done now. It only goes forward.
     pub fn step(&mut self, now: Time, seen: Seen) -> Step {
         let (age, for_so_long) = (now - self.ordered, now - self.since);
         let quiet = now - seen.last_asked >= QUIET;
+        let earliest = EARLIEST_DEAF.min(self.kill - EARLIEST_DEAF_BEFORE).max(CLOSE_IDLE);
+        let latest = LATEST_DEAF.min(self.kill - LATEST_DEAF_BEFORE).max(CLOSE_IDLE);
+        // Whoever is refused needs time to read it, too.
+        let refused_by = self.kill - KILL_MARGIN - LAST_WORDS;
+        let told = now - self.since.max(seen.last_answered) >= LAST_WORDS;
+        let waited = for_so_long >= STAYING || age >= self.kill - KILL_MARGIN;
         let next = match self.step {
             Step::Serving if age >= CLOSE_IDLE => Step::Closing,
-            Step::Closing if age >= LATEST_DEAF || (age >= EARLIEST_DEAF && quiet) => Step::Deaf,
-            Step::Deaf if seen.coming_in == 0 || for_so_long >= HALF_SENT => Step::Refusing,
-            Step::Refusing if seen.serving == 0 && for_so_long >= LAST_WORDS => Step::Over,
+            Step::Closing if age >= latest || (age >= earliest && quiet) => Step::Deaf,
+            Step::Deaf if seen.coming_in == 0 || for_so_long >= HALF_SENT || age >= refused_by => {
+                Step::Refusing
+            }
+            Step::Refusing if seen.serving == 0 && told && (seen.staying == 0 || waited) => Step::Over,
             step => step,
         };
         if next != self.step {
@@ -88,65 +113,3 @@
         self.step
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// The moments of all steps, in milliseconds after the order, where `seen` tells what is seen then.
-    fn moments(seen: impl Fn(f64) -> Seen) -> Vec<(Step, i64)> {
-        let start = Time::from_secs(100.0);
-        let mut stop = Stop::new(start, 2.5);
-        let mut moments = vec![(Step::Serving, 0)];
-        for tick in 0..1000 {
-            let now = start + f64::from(tick) * 0.005;
-            let step = stop.step(now, seen(now - start));
-            if step != moments[moments.len() - 1].0 {
-                moments.push((step, ((now - start) * 1e3).round() as i64));
-            }
-        }
-        moments
-    }
-
-    #[test]
-    fn a_quiet_program_ends_within_a_second() {
-        let all = moments(|_| Seen::default());
-        let expected = [
-            (Step::Serving, 0),
-            (Step::Closing, 500),
-            (Step::Deaf, 900),
-            (Step::Refusing, 905),
-            (Step::Over, 955),
-        ];
-        assert_eq!(all, expected);
-    }
-
-    /// Guards against clients who never cease to come, or to send, and so hold the end up until the kill.
-    #[test]
-    fn nobody_who_goes_on_coming_holds_the_end_up() {
-        let now = |age: f64| Time::from_secs(100.0 + age);
-        let all = moments(|age| Seen { last_asked: now(age), coming_in: 3, serving: usize::from(age < 1.9) });
-        let expected = [
-            (Step::Serving, 0),
-            (Step::Closing, 500),
-            (Step::Deaf, 1200),
-            (Step::Refusing, 1500),
-            (Step::Over, 1900),
-        ];
-        assert_eq!(all, expected);
-    }
-
-    #[test]
-    fn the_rest_of_a_request_is_waited_for() {
-        let all = moments(|age| Seen { coming_in: usize::from(age < 1.1), ..Seen::default() });
-        assert_eq!(all[3], (Step::Refusing, 1100));
-    }
-
-    /// Guards against a request that comes late in the stop and would be answered only after the kill.
-    #[test]
-    fn all_is_answered_before_the_kill() {
-        let start = Time::from_secs(100.0);
-        assert_eq!(Stop::new(start, 2.5).answered_by() - start, 3.1);
-        assert_eq!(Stop::new(start, 9.0).answered_by() - start, 3.6);
-    }
-}
--- /dev/null
+++ b/operate/tests/stop.rs
@@ -0,0 +1,118 @@
+//! The phases of a stop, on a clock of the test's own.
+
+use cairnroad::Time;
+use cairnroad_operate::stop::{Seen, Step, Stop};
+use quickcheck::{Gen, QuickCheck};
+
+/// The moments of all steps, in milliseconds after the order, where `seen` tells what is seen then.
+fn moments(longest: f64, seen: impl Fn(f64) -> Seen) -> Vec<(Step, i64)> {
+    let start = Time::from_secs(100.0);
+    let mut stop = Stop::new(start, longest);
+    let mut moments = vec![(Step::Serving, 0)];
+    for tick in 0..1000 {
+        let now = start + f64::from(tick) * 0.005;
+        let step = stop.step(now, seen(now - start));
+        if step != moments[moments.len() - 1].0 {
+            moments.push((step, ((now - start) * 1e3).round() as i64));
+        }
+    }
+    moments
+}
+
+/// A moment so many seconds after the order.
+fn now(age: f64) -> Time {
+    Time::from_secs(100.0 + age)
+}
+
+#[test]
+fn a_quiet_program_ends_within_a_second() {
+    let all = moments(2.5, |_| Seen::default());
+    let expected = [
+        (Step::Serving, 0),
+        (Step::Closing, 500),
+        (Step::Deaf, 900),
+        (Step::Refusing, 905),
+        (Step::Over, 955),
+    ];
+    assert_eq!(all, expected);
+}
+
+/// Guards against clients who never cease to come, or to send, and so hold the end up until the kill.
+#[test]
+fn nobody_who_goes_on_coming_holds_the_end_up() {
+    let coming = |age: f64| Seen {
+        last_asked: now(age),
+        coming_in: 3,
+        staying: 3,
+        serving: usize::from(age < 1.9),
+        ..Seen::default()
+    };
+    let expected = [
+        (Step::Serving, 0),
+        (Step::Closing, 500),
+        (Step::Deaf, 1200),
+        (Step::Refusing, 1500),
+        (Step::Over, 1900),
+    ];
+    assert_eq!(moments(2.5, coming), expected);
+}
+
+#[test]
+fn the_rest_of_a_request_is_waited_for() {
+    let all = moments(2.5, |age| Seen { coming_in: usize::from(age < 1.1), ..Seen::default() });
+    assert_eq!(all[3], (Step::Refusing, 1100));
+}
+
+/// Guards against a request that comes late in the stop and would be answered only after the kill.
+#[test]
+fn all_is_answered_before_the_kill() {
+    let start = Time::from_secs(100.0);
+    assert_eq!(Stop::new(start, 2.5).answered_by() - start, 3.1);
+    assert_eq!(Stop::new(start, 9.0).answered_by() - start, 3.6);
+    assert!((Stop::new(start, 0.4).answered_by() - start - 1.0).abs() < 1e-5);
+}
+
+/// Guards against an end right behind the last answer: with bytes unread the system resets the connection, and the
+/// answer is lost with it.
+#[test]
+fn the_last_answer_is_left_time_to_be_read() {
+    let all = moments(2.5, |age| Seen {
+        serving: usize::from(age < 2.0),
+        last_answered: now(age.min(2.0)),
+        ..Seen::default()
+    });
+    assert_eq!(all[4], (Step::Over, 2050));
+}
+
+/// Guards against an end while a connection that was accepted last still waits for its first request.
+#[test]
+fn connections_that_were_not_told_of_the_end_are_waited_for() {
+    let all = moments(2.5, |age| Seen { staying: usize::from(age < 1.0), ..Seen::default() });
+    assert_eq!(all[4], (Step::Over, 1000));
+}
+
+/// Guards against phases fitted to one deployment's deadlines: with short ones the kill comes while the program still
+/// accepts. Whatever the deadlines and whoever comes, the program is deaf 0.4 s and refuses 0.15 s before the kill, or
+/// as soon as idle connections are closed.
+#[test]
+fn every_phase_is_over_before_the_kill_whatever_the_deadlines() {
+    fn kept(deadline: u16, coming: bool, half: bool) -> bool {
+        let longest = f64::from(deadline % 10_000) / 1e3 + 0.02;
+        let all = moments(longest, |age| Seen {
+            last_asked: if coming { now(age) } else { Time::default() },
+            coming_in: usize::from(half),
+            staying: usize::from(coming),
+            ..Seen::default()
+        });
+        let kill = ((longest.min(3.0) + 0.7) * 1e3) as i64;
+        let at = |step| all.iter().find(|(other, _)| *other == step).map_or(i64::MAX, |(_, at)| *at);
+        at(Step::Deaf) <= (kill - 400).max(500) + 5
+            && at(Step::Refusing) <= (kill - 150).max(505) + 5
+            && at(Step::Over) <= (kill - 100).max(555) + 5
+    }
+    let fixed = Gen::from_size_and_seed(100, 31);
+    QuickCheck::new().rng(fixed).tests(300).quickcheck(kept as fn(u16, bool, bool) -> bool);
+    for deadline in [0, 180, 330, 430, 480, 2480, 7980] {
+        assert!(kept(deadline, true, true), "{deadline}");
+    }
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -130,6 +130,16 @@
         self.class_names.iter().position(|other| other == name && !name.is_empty())
     }
 
+    /// The shortest aim of the classes that may be asked for, in seconds.
+    pub fn shortest_aim(&self) -> f64 {
+        self.offered().map(|(.., class)| class.aim).reduce(f64::min).unwrap_or(1.0)
+    }
+
+    /// The longest deadline of the classes that may be asked for, in seconds.
+    pub fn longest_deadline(&self) -> f64 {
+        self.offered().map(|(.., class)| class.deadline).fold(0.0, f64::max)
+    }
+
     /// The classes that may be asked for, with their places and names.
     pub fn offered(&self) -> impl Iterator<Item = (usize, &str, &Class)> {
         let rows = self.class_names.iter().zip(&self.policy.classes).enumerate();
--- a/src/policy/retune.rs
+++ b/src/policy/retune.rs
@@ -1,6 +1,6 @@
 //! Settings that change in service. What was learned of servers stays; nothing here decides about a query.
 
-use super::{Aggregator, FIRST_GUESS, RECENT_AIMS};
+use super::{Aggregator, Due, FIRST_GUESS, RECENT_AIMS};
 use cairnroad_words::{ClassId, Settings, Time};
 
 impl Aggregator {
@@ -21,4 +21,13 @@
         self.recent = RECENT_AIMS * aims().map(|class| class.aim).fold(0.0, f64::max);
         self.settings = settings;
     }
+
+    /// Terms that all open queries get at once: the process is told to end, and none may stay open beyond this moment.
+    pub fn end_by(&mut self, moment: Time) {
+        for (&id, query) in self.queries.iter_mut().filter(|(_, query)| query.end_at > moment) {
+            self.agenda.remove(query.end_at, Due::End(id));
+            query.end_at = moment;
+            self.agenda.insert(moment, Due::End(id));
+        }
+    }
 }
