--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -27,6 +27,10 @@
 const MOST_SILENT: usize = 3;
 /// Idle connections are closed after this share of the time after which their other side does so.
 const IDLE_SHARE: f64 = 0.7;
+/// How often idle connections are looked for, in seconds; and in shares of that time, if that is less: each must be found
+/// before its other side closes it.
+const SWEEP: f64 = 0.5;
+const SWEEP_SHARE: f64 = 0.1;
 
 /// What a connection brought to the core's table.
 pub enum Brought {
@@ -99,6 +103,11 @@
     deployment.shortest_aim() * SILENT_SHARE
 }
 
+/// Seconds between two sweeps of a pool.
+pub fn sweep_every(deployment: &Deployment) -> f64 {
+    SWEEP.min(SWEEP_SHARE * deployment.keepalive)
+}
+
 pub struct Pool {
     kind: BackendKind,
     most_links: usize,
--- a/node/src/pool_tests.rs
+++ b/node/src/pool_tests.rs
@@ -335,3 +335,17 @@
         });
     }
 }
+
+/// Guards against sweeps and silences fitted to one deployment's keepalive and aims.
+#[test]
+fn sweeps_and_silence_follow_from_the_settings() {
+    let mut deployment = crate::config::tests::sample().offer.deployment.clone();
+    for keepalive in [0.2, 1.0, 1.6, 15.0, 60.0] {
+        deployment.keepalive = keepalive;
+        assert!(IDLE_SHARE * keepalive + sweep_every(&deployment) <= 0.81 * keepalive, "{keepalive}");
+    }
+    for aim in [0.1, 1.0, 4.0] {
+        deployment.policy.classes.iter_mut().for_each(|class| class.aim = aim);
+        assert_eq!(silent(&deployment), aim * SILENT_SHARE);
+    }
+}
--- a/node/src/stages/book.rs
+++ b/node/src/stages/book.rs
@@ -215,3 +215,7 @@
         })
     }
 }
+
+#[cfg(test)]
+#[path = "book_tests.rs"]
+mod tests;
--- /dev/null
+++ b/node/src/stages/book_tests.rs
@@ -0,0 +1,60 @@
+//! The table of open requests, on a clock of the test's own.
+
+use super::*;
+use crate::words::Text;
+
+/// A table for a deployment whose classes all have this effect, window and deadline.
+fn book(effect: Effect, window: f64, deadline: f64) -> Book {
+    let config = crate::config::tests::sample();
+    let mut deployment = config.offer.deployment.clone();
+    for class in &mut deployment.policy.classes {
+        (class.effect, class.window, class.deadline) = (effect, window, deadline);
+    }
+    let mut book = Book::new(&config);
+    book.retune(&deployment);
+    book
+}
+
+fn ask(name: &str, now: Time) -> Ask {
+    let (reply, _) = oneshot::channel();
+    let parts = vec![PartSpec { shard: 0, weight: 1.0 }];
+    let text = Text::Plain("t".into());
+    let (name, due) = (name.into(), now + 9.0);
+    let request = Request { name, class: 0, due, repeat: false, work: None, parts, text, judge: None };
+    Ask { request, reply }
+}
+
+/// Guards against a name that is forgotten while its request may still be open, where deadlines are long.
+#[test]
+fn a_name_is_remembered_for_longer_than_a_request_may_be_open() {
+    for (deadline, kept) in [(2.0, 10.0), (12.0, 24.0)] {
+        let (start, mut book) = (Time::from_secs(100.0), book(Effect::Safe, 0.0, deadline));
+        book.open(start, ask("first", start));
+        for (at, known) in [(kept - 0.1, true), (kept + 0.1, false)] {
+            book.open(start + at, ask(&at.to_string(), start + at));
+            assert_eq!(book.knows("first"), known, "{at} s, with a deadline of {deadline} s");
+        }
+    }
+}
+
+/// Guards against a keyed part's attempt that leaves after its window, counted from the first one that may have run.
+#[test]
+fn a_keyed_parts_attempts_know_their_windows_end() {
+    let (start, mut book) = (Time::from_secs(100.0), book(Effect::Keyed, 2.0, 9.0));
+    let (_, parts) = book.open(start, ask("keyed", start));
+    let part = parts[0].0;
+    let job = |book: &mut Book, at: f64| book.job(start + at, part, start + 9.0).unwrap();
+    let first = job(&mut book, 0.0);
+    assert!(first.may_be_sent(start + 1.9) && !first.may_be_sent(start + 2.0));
+    book.note(&Ended { attempt: first.attempt, outcome: Outcome::ConnectFailed, value: None });
+    let second = job(&mut book, 1.5);
+    assert!(second.may_be_sent(start + 3.4), "the first one never ran");
+    book.note(&Ended { attempt: second.attempt, outcome: Outcome::Reset, value: None });
+    let third = job(&mut book, 2.5);
+    assert!(third.may_be_sent(start + 3.4) && !third.may_be_sent(start + 3.5), "the second one may have run");
+    third.wanted.set(false);
+    assert!(!third.may_be_sent(start + 2.6));
+    let (start, mut book) = (Time::from_secs(100.0), self::book(Effect::Unsafe, 2.0, 9.0));
+    let (_, parts) = book.open(start, ask("once", start));
+    assert!(book.job(start, parts[0].0, start + 9.0).unwrap().may_be_sent(start + 8.0));
+}
--- a/node/src/stages/mod.rs
+++ b/node/src/stages/mod.rs
@@ -15,7 +15,7 @@
 use crate::config::Config;
 use crate::contract::Contracts;
 use crate::discovery::{self, Directory};
-use crate::pool::{Brought, Pool};
+use crate::pool::{self, Brought, Pool};
 use crate::shelf::Shelf;
 use crate::tally::{Count, Tally};
 use crate::wheel::{Due, Wheel};
@@ -29,11 +29,6 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
-/// How often idle connections are looked for, in seconds; and in shares of the time after which their other side closes
-/// them, if that is less: each must be found before that.
-const SWEEP: f64 = 0.5;
-const SWEEP_SHARE: f64 = 0.1;
-
 /// How long a fresh list is waited for before a cached one will do.
 const FRESH_LIST: f64 = 1.0;
 
@@ -85,7 +80,7 @@
     ) -> Self {
         let now = clock.now();
         let mut wheel = Wheel::new(now, config.offer.deployment.policy.tick);
-        let sweep = SWEEP.min(SWEEP_SHARE * config.offer.deployment.keepalive);
+        let sweep = pool::sweep_every(&config.offer.deployment);
         wheel.insert(now + sweep, Due::Sweep);
         let mut core = Core {
             clock: clock.clone(),
--- a/node/tests/agents.rs
+++ b/node/tests/agents.rs
@@ -13,7 +13,10 @@
 
 /// What an agent knows, and word of its changes.
 #[derive(Clone, Default)]
-struct Known(Arc<(Mutex<(u64, Vec<Value>)>, Condvar)>);
+struct Known(Arc<Shared>);
+
+/// Its version and list, and word of changes.
+type Shared = (Mutex<(u64, Vec<Value>)>, Condvar);
 
 impl Known {
     fn new(members: Vec<Value>) -> Known {
--- a/node/tests/customers.rs
+++ b/node/tests/customers.rs
@@ -214,3 +214,18 @@
         ended_within(&mut rig, since, 1.5);
     }
 }
+
+/// Guards against advice that sends a client away for longer than it would wait.
+#[test]
+fn a_client_is_not_told_to_come_back_after_its_time() {
+    let stage = Stage::new(|_, _, _| Act::Late(10));
+    let members = members(Wire::Platform, &stage);
+    let rig = Rig::tuned(stage, members, |config| deadlines(config, 0.2, 0.4));
+    let mut client = BufReader::new(TcpStream::connect(rig.platform).unwrap());
+    let all: String =
+        (0..400).map(|number| one_part(&format!("p{number}"), "stock-search", 0.4, "~1~")).collect();
+    client.get_mut().write_all(all.as_bytes()).unwrap();
+    let refused = std::iter::repeat_with(|| response(&mut client)).find(|told| told.status != 200).unwrap();
+    assert_eq!(refused.status, 429);
+    assert!(refused.fields["retry-after"].parse::<f64>().unwrap() <= 0.2, "{:?}", refused.fields);
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -207,7 +207,13 @@
         let mut actions = rig.play(&events);
         let mut sent = sends(&actions);
         let answers = |sent: &[(u64, u32)], number: u8| -> Vec<Event> {
-            let outcome = |server: u32| if well || server % CELLS > 0 { Outcome::Ok } else { Outcome::Error };
+            let outcome = |server: u32| {
+                if well || !server.is_multiple_of(CELLS) {
+                    Outcome::Ok
+                } else {
+                    Outcome::Error
+                }
+            };
             sent.iter().map(|&(part, server)| done(part, number, outcome(server))).collect()
         };
         for number in 0..3 {
