--- a/src/policy/choose.rs
+++ b/src/policy/choose.rs
@@ -4,7 +4,7 @@
 
 /// A doubted server gets one trial part in this share of the shortest aim, times its pace over `DOUBT`.
 const TRIAL_GAP: f64 = 0.4;
-/// Trial parts stay under this share of the parts lately asked of this node, sent or refused: a rescue for each
+/// Trial parts stay under this share of the parts lately asked of this node, sent or not: a rescue for each
 /// is within the tenth of copies, and many nodes with little traffic don't wear a bad server down or out.
 const TRIAL_SHARE: f64 = 0.04;
 
