Hold weights against what they add up to: a query of 94 rounded ones was never whole

A print at each way out of `open_step`: 2,566 of them with 'servable 0.999982, floor 1, 94 parts', every part in time. Clients write weights with six digits: 94 times 0.010638 is 0.999972, and the slack for that was a fixed 0.00001. With 30 data nodes queries have fewer parts, and the class is served. Ruled out by the prints: load shedding, doubt, the cap on open parts, cold servers, late requests.

At fault: `refuse.rs`, `open_step` (`servable < floor`), and `end.rs`, `weights`, which held sums against 1. Once sent, such a query could not have been whole either.

Change: what is in, or may come, is a share of what the query's own weights add up to. The slack is half of the least weight that clients write; at ten such weights a missing part could have passed as a whole. What proves that an attempt never ran is said once, in the words' package; the table of open requests had a second list of it.

--- a/node/src/stages/book.rs
+++ b/node/src/stages/book.rs
@@ -173,8 +173,7 @@
     /// Notes how an attempt ended. The first value stands.
     pub fn note(&mut self, ended: &Ended) {
         let Some(part) = self.parts.get_mut(&ended.attempt.part) else { return };
-        let never = matches!(ended.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
-        part.never_ran += u8::from(never);
+        part.never_ran += u8::from(ended.outcome.never_ran());
         let Some(open) = self.queries.get_mut(&part.query) else { return };
         open.ends += 1;
         let result = match (ended.outcome, &ended.value) {
--- a/node/tests/customers.rs
+++ b/node/tests/customers.rs
@@ -229,3 +229,25 @@
     assert_eq!(refused.status, 429);
     assert!(refused.fields["retry-after"].parse::<f64>().unwrap() <= 0.2, "{:?}", refused.fields);
 }
+
+/// Guards against a query of many parts that is never whole: its weights are rounded by whoever wrote them, and add up to
+/// less than 1 the more parts there are.
+#[test]
+fn rounded_weights_of_many_parts_make_a_whole() {
+    for parts in [7, 94, 150] {
+        let stage = Stage::new(|_, _, _| Act::Serve);
+        let members = members(Wire::Platform, &stage);
+        let rig = Rig::tuned(stage, members, |config| config["settings"]["extra"]["shards"] = json!(parts));
+        // As many digits as the platform's clients write, and the last of them cut off.
+        let weight = (1e6 / f64::from(parts)).floor() / 1e6;
+        let shards: Vec<Value> = (0..parts).map(|shard| json!({"shard": shard, "weight": weight})).collect();
+        let body = json!({"shards": shards, "q": "~1~"}).to_string();
+        for class in ["stock-search", "pick-confirm"] {
+            let id = format!("{class}-{parts}");
+            let fields = [("X-Request-Id", id.as_str()), ("X-Class", class), ("X-Deadline", "2.0")];
+            let told = rig.call(rig.platform, "POST /api", &fields, &body);
+            assert_eq!((told.status, &told.json["complete"]), (200, &json!(true)), "{id}: {}", told.json);
+            assert_eq!(told.json["hits"].as_array().unwrap().len(), parts as usize, "{id}");
+        }
+    }
+}
--- a/src/policy/end.rs
+++ b/src/policy/end.rs
@@ -6,18 +6,19 @@
 const ADVICE: f64 = 0.25;
 
 impl Aggregator {
-    /// Weight that is in, and weight that is in or may still come.
+    /// The share that is in, and the share that is in or may still come, of what the parts' weights add up to.
     pub(super) fn weights(&mut self, now: Time, id: RequestId) -> (f64, f64) {
         let Some(parts) = self.queries.get(&id).map(|q| q.parts.clone()) else { return (0.0, 0.0) };
-        let (mut done, mut possible) = (0.0, 0.0);
+        let (mut done, mut possible, mut all) = (0.0, 0.0, f64::MIN_POSITIVE);
         for id in parts {
             let Some(part) = self.parts.get(&id) else { continue };
             let (answered, weight, sent) = (part.answered, part.weight, part.first_sent.is_some());
             let live = answered || !part.out.is_empty() || (sent && self.may_repeat(now, id));
             done += if answered { weight } else { 0.0 };
             possible += if live { weight } else { 0.0 };
+            all += weight;
         }
-        (done + WEIGHT_SLACK, possible + WEIGHT_SLACK)
+        (done / all + WEIGHT_SLACK, possible / all + WEIGHT_SLACK)
     }
 
     /// Ends the step as soon as its parts decide it: whole, hopeless, or partial with nothing left to come.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -33,8 +33,8 @@
 const DOUBT: f64 = 3.0;
 /// Over how many warm-up times the usual take of a warm server is counted.
 const TAKE_WARM_UPS: f64 = 0.5;
-/// Slack for sums of weights, which are rounded on their way here.
-const WEIGHT_SLACK: f64 = 1e-5;
+/// Slack for shares of weights and what they are held against: half of the least weight that clients can write.
+const WEIGHT_SLACK: f64 = 5e-7;
 /// Weight of one answer in its class's usual answer time: the last thirty or so count.
 const USUAL_GAIN: f64 = 0.03;
 /// A copy's timer that is judged so many ticks late tells of a stall of this node, not of a slow server.
--- a/src/policy/note.rs
+++ b/src/policy/note.rs
@@ -77,13 +77,10 @@
         let part = self.parts.get_mut(&id)?;
         let query = self.queries.get_mut(&part.query)?;
         part.out.retain(|&number| number != attempt);
-        match outcome {
-            Outcome::Ok => (part.answered, query.answers) = (true, query.answers + 1),
-            Outcome::Full | Outcome::ConnectFailed | Outcome::Moot => {}
-            Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::Cancelled => {
-                part.may_have_run = true
-            }
+        if outcome == Outcome::Ok {
+            (part.answered, query.answers) = (true, query.answers + 1);
         }
+        part.may_have_run |= !outcome.never_ran();
         part.back = stale.then_some(flight.server);
         if !stale && (outcome == Outcome::Reset || went_back && outcome == Outcome::ConnectFailed) {
             query.resets += 1;
--- a/src/policy/refuse.rs
+++ b/src/policy/refuse.rs
@@ -39,11 +39,12 @@
         }
         if !second_step {
             let limit = self.shed_limit(class, parts.len());
-            let mut servable = WEIGHT_SLACK;
+            let all: f64 = parts.iter().map(|part| self.parts[part].weight).sum();
+            let mut servable = WEIGHT_SLACK * all;
             for part in &parts {
                 servable += if self.in_time(now, *part, limit) { self.parts[part].weight } else { 0.0 };
             }
-            if servable < floor {
+            if servable < floor * all {
                 return self.give_up(now, id, actions);
             }
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -94,6 +94,11 @@
 
     /// The events of a new query with equal parts at these shards, and the ids: the query's, the parts'.
     pub fn query(&mut self, class: u16, shards: &[u32]) -> (Vec<Event>, u64, Vec<u64>) {
+        self.weighted(class, shards, 1.0 / shards.len() as f64)
+    }
+
+    /// The same, each part with this weight, as whoever wrote it rounded it.
+    pub fn weighted(&mut self, class: u16, shards: &[u32], weight: f64) -> (Vec<Event>, u64, Vec<u64>) {
         let number = self.next;
         let id = number * 1000;
         self.next += 1;
@@ -110,7 +115,6 @@
         for (at, &shard) in shards.iter().enumerate() {
             let part = id + 1 + at as u64;
             parts.push(part);
-            let weight = 1.0 / shards.len() as f64;
             events.push(Event::Part { id: RequestId(part), number, shard, weight });
         }
         (events, id, parts)
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -749,3 +749,31 @@
     let sent: Vec<u32> = (0..12).map(|_| served(&mut rig)).collect();
     assert_eq!(sent.iter().filter(|&&server| server == 1).count(), 4, "old advice is none: {sent:?}");
 }
+
+/// Guards against weights that were rounded on their way here and add up to less than 1, or more: what is asked is a share
+/// of what they add up to.
+#[test]
+fn rounded_weights_add_up_to_the_whole() {
+    let floored = Class { floor: 0.8, partial: 0.9, late_share: 0.3, ..class(Effect::Safe) };
+    let shards: Vec<u32> = (0..94).collect();
+    for weight in [0.010638, 0.01063, 0.010639, 0.0107] {
+        let mut rig = Rig::new(settings(vec![class(Effect::Safe), floored.clone()]));
+        let (events, id, parts) = rig.weighted(0, &shards, weight);
+        assert_eq!(sends(&rig.play(&events)).len(), 94, "weights of {weight}: all are sent");
+        let but_one: Vec<Event> = parts[1..].iter().map(|&part| done(part, 0, Outcome::Ok)).collect();
+        assert!(!ended(&rig.after(0.02, &but_one), id), "weights of {weight}: one is not in");
+        let actions = rig.after(0.02, &[done(parts[0], 0, Outcome::Ok)]);
+        assert!(actions.contains(&Action::Answer { query: RequestId(id), whole: true }), "{actions:?}");
+        // 75 of 94 are under the floor, 76 are not.
+        for (in_time, answered) in [(75, false), (76, true)] {
+            let (events, id, parts) = rig.weighted(1, &shards, weight);
+            rig.play(&events);
+            let some: Vec<Event> = parts[..in_time].iter().map(|&part| done(part, 0, Outcome::Ok)).collect();
+            rig.after(0.02, &some);
+            let actions = rig.after(0.97, &[Event::Wake]);
+            let partial = actions.contains(&Action::Answer { query: RequestId(id), whole: false });
+            assert_eq!(partial, answered, "weights of {weight}: {in_time} of 94");
+            rig.after(3.0, &[Event::Wake]);
+        }
+    }
+}
--- a/words/src/lib.rs
+++ b/words/src/lib.rs
@@ -222,6 +222,16 @@
     Moot,
 }
 
+impl Outcome {
+    /// Whether it proves that the attempt never ran, as the protocol's table has it.
+    pub fn never_ran(self) -> bool {
+        match self {
+            Outcome::Full | Outcome::ConnectFailed | Outcome::Moot => true,
+            Outcome::Ok | Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::Cancelled => false,
+        }
+    }
+}
+
 /// Something that happened.
 #[derive(Clone, Debug)]
 pub enum Event {
