--- a/node/src/stages/mod.rs
+++ b/node/src/stages/mod.rs
@@ -375,43 +375,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use cairnroad::ServerState;
-
-    /// Guards against tables that grow with every server that a long day replaces.
-    #[test]
-    fn replaced_servers_are_forgotten() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        tokio::task::LocalSet::new().block_on(&runtime, async {
-            let config = crate::config::tests::sample();
-            let (clock, (_asks, asked)) = (Clock::new(config.offer.deployment.policy.tick), mpsc::channel(4));
-            let contracts = Rc::new(Contracts::new(clock.clone(), Default::default()));
-            let phase = Rc::new(watch::channel(Phase::Starting).0);
-            let offer = watch::channel(config.offer.clone()).0;
-            let mut core = Core::new(&config, contracts, clock, asked, mpsc::channel(64), phase, offer);
-            for generation in 0..300 {
-                let row = |(at, state)| crate::words::Row {
-                    id: format!("s-{at}"),
-                    address: "127.0.0.1:1".parse().unwrap(),
-                    cell: at as u32 % 2,
-                    zone: 0,
-                    state,
-                    size: 1.0,
-                    weight: 1.0,
-                    generation: 0,
-                    ready_at: None,
-                };
-                let gone = (generation, ServerState::Gone);
-                let fresh = (generation + 1..generation + 5).map(|at| (at, ServerState::Ready));
-                // By changes and, now and then, by a whole list without the one that is gone.
-                let complete = generation % 3 == 0;
-                let rows = std::iter::once(gone).filter(|_| !complete).chain(fresh).map(row).collect();
-                core.note_news(&News { revision: 1, complete, rows }, false);
-                core.turn();
-                core.pool.sweep(core.clock.now());
-            }
-            assert_eq!((core.directory.len(), core.pool.size().0, core.route.servers()), (4, 4, 4));
-        });
-    }
-}
+mod tests;
