--- a/src/policy/end.rs
+++ b/src/policy/end.rs
@@ -6,7 +6,7 @@
 const ADVICE: f64 = 0.25;
 
 impl Aggregator {
-    /// The share that is in, and the share that is in or may still come, of what the parts' weights add up to.
+    /// What is in, and what is in or may still come, as shares of what the parts' weights add up to.
     pub(super) fn weights(&mut self, now: Time, id: RequestId) -> (f64, f64) {
         let Some(parts) = self.queries.get(&id).map(|q| q.parts.clone()) else { return (0.0, 0.0) };
         let (mut done, mut possible, mut all) = (0.0, 0.0, f64::MIN_POSITIVE);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -33,7 +33,7 @@
 const DOUBT: f64 = 3.0;
 /// Over how many warm-up times the usual take of a warm server is counted.
 const TAKE_WARM_UPS: f64 = 0.5;
-/// Slack for shares of weights and what they are held against: half of the least weight that clients can write.
+/// Slack for shares of weights against their bars: half of the least weight that clients write.
 const WEIGHT_SLACK: f64 = 5e-7;
 /// Weight of one answer in its class's usual answer time: the last thirty or so count.
 const USUAL_GAIN: f64 = 0.03;
