--- a/review/standins/case3.rs
+++ b/review/standins/case3.rs
@@ -1,8 +1,10 @@
-//! Case 3: data nodes drain while discovery is down; it comes back while the coordinator waits between two calls.
+//! Case 3: a spoilt answer whose length doesn't fit.
 
 mod common;
-use common::{main_of, sleep, Agent, Clients, Coordinator, Draw, Node, PartIn, Record, Request, Verdict};
+use common::{main_of, sleep, value_of, Agent, Clients, Coordinator, Draw, Node, PartIn, Record, Request, Verdict};
+use std::collections::BTreeMap;
 use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 /// Twelve data nodes in six sets, each shard held by two.
@@ -10,22 +12,18 @@
 const CELLS: u32 = 6;
 const SHARDS: u64 = 24;
 /// Usual clients' queries a second, and how long they come.
-const RATE: f64 = 40.0;
-const SPAN: f64 = 30.0;
-/// The trouble: discovery is down from here on for so long, and until the coordinator has given up its next call.
-const DOWN_FROM: f64 = 5.0;
-const DOWN_FOR: f64 = 13.0;
-/// A quarter of the data nodes, each of another set.
-const DRAINED: usize = 3;
-/// What is sent later than this after the drain was told breaks the rule: the grace, and the 50 ms of each time limit.
-const GRACE: f64 = 0.25 + 0.05;
+const RATE: f64 = 14.0;
+const SPAN: f64 = 24.0;
+/// The trouble: from then on one answer in so many of any data node is spoilt, its length too short by so many bytes.
+const SPOILT_FROM: f64 = 4.0;
+const SPOILT_ONE_IN: usize = 100;
+const TOO_SHORT: usize = 4;
 
-/// Work of a part with its call; aims and deadlines are those of the site.
-const WORK: f64 = 0.03;
+const WORK: f64 = 0.06 + 0.038;
 
 const SETTINGS: &str = r#"{"accounts":[],
  "caps":{"attemptsCap":3,"cancel":true,"cpuUsPerRequest":0.0,"cpuUsPerS":400000,"dialTimeoutS":0.25,"keepaliveS":15.0,
-  "maxRetryAfterS":2.0,"openCap":1000,"peerMessages":false,"probes":true,"retryAfter":false,"secondCopies":true,"streamsPerConn":32},
+  "maxRetryAfterS":2.0,"openCap":400,"peerMessages":false,"probes":true,"retryAfter":false,"secondCopies":true,"streamsPerConn":32},
  "classes":[
   {"aimS":1.0,"deadlineS":2.0,"dedupWindowS":5.0,"effect":"idempotent","group":"all","lateShare":0.3,"name":"stock-search","stream":false,"value":3.0},
   {"aimS":1.0,"deadlineS":2.5,"dedupWindowS":5.0,"effect":"at_most_once","group":"all","lateShare":0.3,"name":"pick-confirm","stream":false,"value":1.0}],
@@ -39,19 +37,33 @@
  "safety":{"answerSlackS":0.02,"coldFrom":0.23,"fallMultiple":2.5,"fallS":1.0,"mustAskInS":10.0,"stopSendingWithinS":0.25,"warmUpS":16.0},
  "tickS":0.005,"tier":0,"tiers":["stock-nodes"],"weights":"silent","worthBy":"request","zones":["kita-room","higashi-room","minami-room"]}"#;
 
+/// The hits of an answer's body: shards and values.
+fn hits(body: &str) -> Vec<(u32, String)> {
+    let hit = |text: &str| {
+        let shard = text.split(',').next()?.trim().parse().ok()?;
+        let value = text.split("\"doc\":\"").nth(1)?.split('"').next()?;
+        Some((shard, value.to_string()))
+    };
+    body.split("\"shard\":").skip(1).filter_map(hit).collect()
+}
+
 fn play(record: &Arc<Record>, root: &Path, trouble: bool) -> Result<Verdict, String> {
     let zones = ["kita-room", "higashi-room", "minami-room"];
-    let taken: Arc<Mutex<Vec<(String, PartIn)>>> = Arc::default();
+    let answers = Arc::new(AtomicUsize::new(0));
+    let spoilt = Arc::new(AtomicUsize::new(0));
     let nodes: Vec<Arc<Node>> = (0..NODES)
         .map(|number| {
-            let taken = taken.clone();
-            let arrival = move |node: &Node, part: &PartIn| {
-                taken.lock().unwrap().push((node.id.clone(), part.clone()));
-                node.record.note_at(part.first_byte, format!("{} takes {} {}", node.id, part.id, part.list));
-            };
-            let done = |_: &Node, _: &PartIn| {};
+            let arrival = |node: &Node, part: &PartIn| node.record.note_at(part.at, format!("{} takes {} {}", node.id, part.id, part.list));
+            let done = |node: &Node, part: &PartIn| node.record.note(format!("{} has run {}, value {}", node.id, part.id, value_of(&part.id)));
             let zone = zones[(number + number / CELLS as usize) % 3];
-            Node::start(record, number + 1, number as u32 % CELLS, zone, WORK, "queue=0,latency_ms=30", Box::new(arrival), Box::new(done))
+            let node = Node::start(record, number + 1, number as u32 % CELLS, zone, WORK, "queue=0,latency_ms=98", Box::new(arrival), Box::new(done));
+            let (record, answers, spoilt) = (record.clone(), answers.clone(), spoilt.clone());
+            *node.spoil.lock().unwrap() = Box::new(move |_| {
+                let is_spoilt = trouble && record.now() > SPOILT_FROM && answers.fetch_add(1, Ordering::SeqCst) % SPOILT_ONE_IN == 0;
+                spoilt.fetch_add(usize::from(is_spoilt), Ordering::SeqCst);
+                if is_spoilt { TOO_SHORT } else { 0 }
+            });
+            node
         })
         .collect();
     let agent = Agent::start(record, &nodes);
@@ -59,30 +71,12 @@
     let clients = Clients::new(record, coordinator.address);
     let mut draw = Draw::new(43);
     let mut asked = Vec::new();
-    let begun = record.now();
+    let mut shards_of: BTreeMap<String, Vec<u32>> = BTreeMap::new();
     let mut next = 0.0;
-    let mut is_down = false;
-    let mut given_up = None;
-    let mut told = None;
+    let begun = record.now();
+    let foreign: Mutex<Vec<String>> = Mutex::default();
     while record.now() - begun < SPAN {
         let now = record.now() - begun;
-        if trouble && now > DOWN_FROM && !is_down && told.is_none() {
-            is_down = true;
-            agent.set_down(true);
-        }
-        let drains = if trouble {
-            // Discovery comes back when the coordinator has just given up a call.
-            now > DOWN_FROM + DOWN_FOR && agent.given_up() > *given_up.get_or_insert_with(|| agent.given_up())
-        } else {
-            now > DOWN_FROM + DOWN_FOR
-        };
-        if drains && told.is_none() {
-            // What the agent gets at the return counts as told at once.
-            agent.set_down(false);
-            is_down = false;
-            nodes.iter().take(DRAINED).for_each(|node| agent.change(node, "leaving"));
-            told = Some(record.now());
-        }
         if now < next {
             sleep(0.001);
             continue;
@@ -94,30 +88,43 @@
         };
         let first = draw.below(SHARDS);
         let id = format!("{:016x}", draw.next());
-        let shards = (0..parts).map(|part| ((first + part) % SHARDS) as u32).collect();
+        let shards: Vec<u32> = (0..parts).map(|part| ((first + part) % SHARDS) as u32).collect();
+        shards_of.insert(id.clone(), shards.clone());
         asked.push(clients.ask(Request { id, class, shards, deadline: give_up * (0.6 + 0.4 * draw.share()), key: None }));
     }
     asked.into_iter().for_each(|thread| drop(thread.join()));
     if let Some(end) = coordinator.ended() {
         return Err(format!("the coordinator ended {end}"));
     }
-    let told = told.ok_or("discovery never came back")?;
-    let drained: Vec<&String> = nodes.iter().take(DRAINED).map(|node| &node.id).collect();
-    let taken = taken.lock().unwrap();
-    let sent: Vec<_> = taken.iter().filter(|(node, part)| drained.contains(&node) && part.first_byte > told).collect();
-    let late: Vec<_> = sent.iter().filter(|(_, part)| part.first_byte - told > GRACE).collect();
     let results = clients.ended.lock().unwrap();
-    let served = results.iter().filter(|ended| matches!(ended.answer, Ok((200, _)))).count();
+    let mut served = 0;
+    for ended in results.iter() {
+        let Ok((200, body)) = &ended.answer else { continue };
+        served += 1;
+        for (shard, value) in hits(body) {
+            let id = format!("{}.{shard}", ended.id);
+            let was_asked = shards_of.get(&ended.id).is_some_and(|shards| shards.contains(&shard));
+            if !was_asked || value != value_of(&id) {
+                let whole = body.contains("\"complete\":true");
+                foreign.lock().unwrap().push(format!(
+                    "{} {} was served by 200, complete {whole}: shard {shard} has {value:?}, made for it was {:?}",
+                    ended.class, ended.id, value_of(&id)
+                ));
+            }
+        }
+    }
+    let foreign = foreign.into_inner().unwrap();
     let mut summary = format!(
-        "{} requests, {served} served; {} parts reached the {DRAINED} draining data nodes after the drain was told, {} of them more than {GRACE:.2} s after it\n",
+        "{} requests, {served} served; {} answers of data nodes spoilt; {} values served that no data node made for the request\n",
         results.len(),
-        sent.len(),
-        late.len()
+        spoilt.load(Ordering::SeqCst),
+        foreign.len()
     );
-    for (node, part) in &late {
-        summary.push_str(&format!("{node} was sent {} {:.3} s after it\n", part.id, part.first_byte - told));
+    for line in &foreign {
+        summary.push_str(line);
+        summary.push('\n');
     }
-    Ok(Verdict { broken: !late.is_empty(), summary })
+    Ok(Verdict { broken: !foreign.is_empty(), summary })
 }
 
 fn main() {
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -121,6 +121,22 @@
     on_arrival: Hook,
     on_done: Hook,
     report: &'static str,
+    /// By how many bytes the length of the answer to a part is too short; 0 for a sound answer.
+    pub spoil: Mutex<Box<dyn Fn(&PartIn) -> usize + Send>>,
+}
+
+/// The writing half of a connection, and whether a spoilt answer has made it useless.
+struct Writer {
+    stream: TcpStream,
+    useless: bool,
+}
+
+impl Writer {
+    fn send(&mut self, frame: &[u8]) {
+        if !self.useless {
+            let _ = self.stream.write_all(frame);
+        }
+    }
 }
 
 impl Node {
@@ -146,6 +162,7 @@
             on_arrival,
             on_done,
             report,
+            spoil: Mutex::new(Box::new(|_| 0)),
         });
         let served = node.clone();
         std::thread::spawn(move || {
@@ -164,7 +181,8 @@
 
     fn serve(self: Arc<Node>, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let writer = Arc::new(Mutex::new(stream.try_clone().expect("a descriptor")));
+        let stream_out = stream.try_clone().expect("a descriptor");
+        let writer = Arc::new(Mutex::new(Writer { stream: stream_out, useless: false }));
         let cancelled: Arc<Mutex<HashSet<String>>> = Arc::default();
         let mut length = [0; 4];
         loop {
@@ -196,10 +214,10 @@
                     cancelled.lock().unwrap().insert(id);
                 }
                 Some(b'L') => {
-                    let _ = writer.lock().unwrap().write_all(&frame_of(format!("L{}", self.report)));
+                    writer.lock().unwrap().send(&frame_of(format!("L{}", self.report)));
                 }
                 Some(b'P') => {
-                    let _ = writer.lock().unwrap().write_all(&frame_of("Pok".into()));
+                    writer.lock().unwrap().send(&frame_of("Pok".into()));
                 }
                 _ => return,
             }
@@ -207,13 +225,22 @@
     }
 
     /// Running work goes on when it is given up, but is not answered then.
-    fn work_on(&self, part: PartIn, writer: &Mutex<TcpStream>, cancelled: &Mutex<HashSet<String>>) {
+    fn work_on(&self, part: PartIn, writer: &Mutex<Writer>, cancelled: &Mutex<HashSet<String>>) {
         sleep(self.work * self.factor.load(Ordering::SeqCst) as f64 / 100.0);
         (self.on_done)(self, &part);
-        if !cancelled.lock().unwrap().contains(&part.id) {
-            let answer = format!("A{} ok 1 {}\n{}", part.id, self.report, value_of(&part.id));
-            let _ = writer.lock().unwrap().write_all(&frame_of(answer));
+        if cancelled.lock().unwrap().contains(&part.id) {
+            return;
+        }
+        let mut frame = frame_of(format!("A{} ok 1 {}\n{}", part.id, self.report, value_of(&part.id)));
+        let short = (self.spoil.lock().unwrap())(&part);
+        if short > 0 {
+            let length = (frame.len() - 4 - short) as u32;
+            frame[..4].copy_from_slice(&length.to_be_bytes());
+            self.record.note(format!("{} answers {} spoilt: the length is {short} bytes too short", self.id, part.id));
         }
+        let mut writer = writer.lock().unwrap();
+        writer.send(&frame);
+        writer.useless |= short > 0;
     }
 
     fn member(&self, phase: &str) -> String {
