--- a/review/standins/case1.rs
+++ b/review/standins/case1.rs
@@ -58,7 +58,10 @@
 impl Archive {
     /// Any holder drops a repeat of a key for 5 s; a part that names no key can't be known as a repeat.
     fn take(&self, node: &Node, part: &PartIn) -> bool {
-        let Some(key) = self.asked.lock().unwrap().get(part.request()).cloned() else { return false };
+        let Some(key) = self.asked.lock().unwrap().get(part.request()).cloned() else {
+            node.record.note_at(part.at, format!("{} takes {} list {}", node.id, part.id, part.list));
+            return false;
+        };
         self.frames.fetch_add(1, Ordering::SeqCst);
         node.record.note_at(part.at, format!("{} takes {} list {} (client's key {key})", node.id, part.id, part.list));
         if let Some(named) = part.entry("k") {
@@ -75,7 +78,9 @@
     }
 
     fn apply(&self, node: &Node, part: &PartIn) {
-        let Some(key) = self.asked.lock().unwrap().get(part.request()).cloned() else { return };
+        let Some(key) = self.asked.lock().unwrap().get(part.request()).cloned() else {
+            return node.record.note(format!("{} has run {}", node.id, part.id));
+        };
         let is_repeat = self.dropped.lock().unwrap().iter().any(|(id, repeated)| *id == node.id && *repeated == part.id);
         let what = if is_repeat { "drops the repeat" } else { "applies" };
         node.record.note(format!("{} {what} {} (client's key {key})", node.id, part.id));
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -604,6 +604,7 @@
         );
         let written = stream.write_all(message.as_bytes());
         ended.sent = self.record.now();
+        self.record.note_at(ended.sent, format!("client: sends {} {} for shards {:?}", request.id, request.class, request.shards));
         let read = written.map_err(|error| error.to_string()).and_then(|()| read_response(&mut stream));
         ended.at = self.record.now();
         match read {
