--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -38,7 +38,7 @@
     }
 
     pub fn write(&self, path: &Path, summary: &str) {
-        let mut lines = self.lines.lock().unwrap();
+        let mut lines = self.lines.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         lines.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut text = String::from(summary);
         text.push('\n');
@@ -666,8 +666,9 @@
     let (root, folder) = (PathBuf::from(&arguments[1]), PathBuf::from(&arguments[2]));
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::new();
-    let played = play(&record, &root, trouble);
-    let (code, summary) = match played {
+    // A panic of the test drops, and so ends, what was started; the case couldn't run then.
+    let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| play(&record, &root, trouble)));
+    let (code, summary) = match played.unwrap_or_else(|_| Err("the test panicked".into())) {
         Ok(verdict) => (i32::from(verdict.broken), verdict.summary),
         Err(cause) => (2, format!("the case couldn't run: {cause}")),
     };
