Review case 2: count only requests that were surely taken as lost

The check counted a request without an answer as lost also if its connection was never made or was closed, possibly unread. Neither is counted now.

--- a/review/standins/case2.rs
+++ b/review/standins/case2.rs
@@ -142,7 +142,13 @@
     let over = peak > MEMORY_MB as f64;
     let end = coordinator.ended();
     let results = clients.ended.lock().unwrap();
-    let lost: Vec<_> = results.iter().filter(|ended| ended.answer.is_err() || ended.at - ended.sent > ended.deadline + LATE).collect();
+    // Lost: answered too late, or still unanswered then. A request whose connection was never made was not taken, and one
+    // whose connection was closed may not have been read: neither is counted.
+    let is_lost = |ended: &&common::Ended| {
+        let in_vain = ended.answer.as_ref().is_err_and(|cause| cause != "time-out");
+        !in_vain && ended.at - ended.sent > ended.deadline + LATE
+    };
+    let lost: Vec<_> = results.iter().filter(is_lost).collect();
     let served = results.iter().filter(|ended| matches!(ended.answer, Ok((200, _)))).count();
     let late = results.iter().filter(|ended| ended.answer.is_ok() && ended.at - ended.sent > ended.deadline).count();
     let mut summary = format!(
