--- a/crates/contract/src/publish.rs
+++ b/crates/contract/src/publish.rs
@@ -43,6 +43,8 @@
     pub deadline_seconds: f64,
     /// Whether a part may be executed more than once.
     pub is_idempotent: bool,
+    /// Whether a query carries an idempotency key, by which servers recognize a repeated part.
+    pub needs_key: bool,
     /// The minimum share of the parts' weight that a partial answer needs, from 0 to 1.
     pub minimum_share: f64,
 }
--- a/crates/contract/src/publish/asyncapi.rs
+++ b/crates/contract/src/publish/asyncapi.rs
@@ -1,5 +1,6 @@
 //! The description of the protocols to servers and discovery, in AsyncAPI 3.0.
 
+use super::elements::KEY_PATTERN;
 use super::InterfaceSpec;
 use serde_json::{json, Map, Value};
 
@@ -72,12 +73,16 @@
 
 fn call_frame(spec: &InterfaceSpec) -> Value {
     let last_shard = spec.shard_count.saturating_sub(1);
-    let properties = json!({
+    let mut properties = json!({
         "id": part_id(),
         "shard": {"type": "integer", "minimum": 0, "maximum": last_shard},
         "d": {"type": "integer", "minimum": 1, "description": "Milliseconds that the coordinator waits."},
         "length": {"type": "integer", "minimum": 0}
     });
+    if spec.classes.iter().any(|class| class.needs_key) {
+        properties["k"] = json!({"type": "string", "pattern": KEY_PATTERN,
+            "description": "The query's idempotency key; in keyed classes only."});
+    }
     frame(
         "Q",
         "One part of a call: a line `ID SHARD LIST LENGTH`, then the query's text. A frame holds one part or more.",
--- a/crates/contract/src/publish/elements.rs
+++ b/crates/contract/src/publish/elements.rs
@@ -8,6 +8,9 @@
 /// The pattern of a time in the query API: a number with its unit, or -1 for none.
 pub(super) const TIME_PATTERN: &str = "^(-1|[0-9]+(nanos|micros|ms|s|m|h|d))$";
 
+/// The pattern of an idempotency key.
+pub(super) const KEY_PATTERN: &str = "^[0-9A-Fa-f]{32}$";
+
 /// The format of a `Retry-After` header.
 #[derive(Clone, Copy)]
 pub(super) enum RetryAfter {
--- a/crates/contract/src/publish/openapi.rs
+++ b/crates/contract/src/publish/openapi.rs
@@ -2,6 +2,7 @@
 
 use super::elements::{
     common_responses, content, parameter, reference, response, with_retry_after, RetryAfter, JSON,
+    KEY_PATTERN,
 };
 use super::query_api::query_paths;
 use super::schemas::schemas;
@@ -51,6 +52,7 @@
         "aim_s": class.latency_objective_seconds,
         "deadline_s": class.deadline_seconds,
         "may_run_twice": class.is_idempotent,
+        "needs_key": class.needs_key,
         "least_share": class.minimum_share
     })
 }
@@ -103,7 +105,7 @@
     let id = json!({"type": "string", "pattern": "^[A-Za-z0-9._-]{1,128}$"});
     let class = json!({"type": "string", "enum": names});
     let retry = json!({"type": "string"});
-    vec![
+    let mut parameters = vec![
         parameter(
             "X-Request-Id",
             "header",
@@ -114,5 +116,19 @@
         parameter("X-Class", "header", true, "The query's class.", class),
         parameter("X-Deadline", "header", true, &deadline, bounds),
         parameter("X-Retry", "header", false, "1 on a client's repeat.", retry),
-    ]
+    ];
+    parameters.extend(idempotency_key_parameter(classes));
+    parameters
+}
+
+/// Returns the parameter that a query of a keyed class needs; `None` if no class is keyed.
+fn idempotency_key_parameter(classes: &[Class]) -> Option<Value> {
+    let keyed = classes.iter().filter(|class| class.needs_key);
+    let names: Vec<&str> = keyed.map(|class| class.name.as_str()).collect();
+    let description = format!(
+        "Required once in the classes {}, ignored in others: the key by which servers recognize a repeated part.",
+        names.join(", ")
+    );
+    let schema = json!({"type": "string", "pattern": KEY_PATTERN});
+    (!names.is_empty()).then(|| parameter("Idempotency-Key", "header", false, &description, schema))
 }
--- a/crates/coordinator/src/backends/frames/codec.rs
+++ b/crates/coordinator/src/backends/frames/codec.rs
@@ -139,20 +139,27 @@
 pub(super) fn encode_call(parts: &[OutboundAttempt], now: Time) -> Vec<u8> {
     let mut body = vec![b'Q'];
     for part in parts {
-        let text = part.payload.as_str();
-        let line = format!(
-            "{} {} d={} {}\n",
-            part_id(part),
-            part.shard,
-            remaining_ms(part, now),
-            text.len()
-        );
-        body.extend_from_slice(line.as_bytes());
-        body.extend_from_slice(text.as_bytes());
+        body.extend_from_slice(part_line(part, now).as_bytes());
+        body.push(b'\n');
+        body.extend_from_slice(part.payload.as_str().as_bytes());
     }
     encode_frame(&body)
 }
 
+/// Returns the line of a part in a call, `ID SHARD LIST LENGTH`. The list holds the time until the part's deadline and,
+/// in a keyed class, the query's idempotency key.
+pub(super) fn part_line(part: &OutboundAttempt, now: Time) -> String {
+    let key = part.idempotency_key.as_ref();
+    let key_entry = key.map_or(String::new(), |key| format!(",k={key}"));
+    format!(
+        "{} {} d={}{key_entry} {}",
+        part_id(part),
+        part.shard,
+        remaining_ms(part, now),
+        part.payload.as_str().len()
+    )
+}
+
 /// Encodes the cancel of a part as an `X` frame.
 pub(super) fn encode_cancel(id: &str) -> Vec<u8> {
     encode_frame(format!("X{id}").as_bytes())
@@ -175,6 +182,6 @@
 }
 
 /// Returns the time until a part's deadline, in milliseconds; at least 1.
-pub(super) fn remaining_ms(part: &OutboundAttempt, now: Time) -> i64 {
+fn remaining_ms(part: &OutboundAttempt, now: Time) -> i64 {
     (((part.deadline - now) * 1000.0) as i64).max(1)
 }
--- a/crates/coordinator/src/backends/frames/contracts.rs
+++ b/crates/coordinator/src/backends/frames/contracts.rs
@@ -1,7 +1,7 @@
 //! Checks frames against the API description of the interface to servers: each frame by its letter, the fields of its
 //! line, and its payload.
 
-use super::codec::{part_id, remaining_ms, PartAnswerFrame};
+use super::codec::{part_line, PartAnswerFrame};
 use crate::connections::handle::ConnectionHandle;
 use crate::contract::{HeaderParser, ObservedMessage};
 use crate::messages::{ContractsInForce, OutboundAttempt};
@@ -9,6 +9,7 @@
 use cairnroad_contract::schema::Direction;
 use cairnroad_types::Time;
 use serde_json::{json, Map, Number, Value as Json};
+use std::collections::BTreeMap;
 
 /// The load report in the line of an answer that has no report.
 const NO_REPORT: &str = "-";
@@ -18,17 +19,8 @@
     if part.contracts.is_none() {
         return;
     }
-    let text = part.payload.as_str();
-    let line = || {
-        let id = part_id(part);
-        format!(
-            "{id} {} {} {}",
-            part.shard,
-            remaining_ms(part, now),
-            text.len()
-        )
-    };
-    let message = request("Q", text.as_bytes());
+    let line = || part_line(part, now);
+    let message = request("Q", part.payload.as_str().as_bytes());
     check(handle, &part.contracts, message, line, call_fields);
 }
 
@@ -107,11 +99,18 @@
 
 fn call_fields(line: &str) -> Json {
     let tokens: Vec<&str> = line.split(' ').collect();
-    let number = |index: usize| {
-        let token = tokens.get(index);
-        token.and_then(|token| token.parse::<i64>().ok())
-    };
-    json!({"id": tokens.first(), "shard": number(1), "d": number(2), "length": number(3)})
+    let number = |text: Option<&&str>| text.and_then(|text| text.parse::<i64>().ok());
+    let list = tokens.get(2).copied().unwrap_or_default();
+    let entries: BTreeMap<&str, &str> = list
+        .split(',')
+        .filter_map(|entry| entry.split_once('='))
+        .collect();
+    let mut fields = json!({"id": tokens.first(), "shard": number(tokens.get(1)),
+        "d": number(entries.get("d")), "length": number(tokens.get(3))});
+    if let Some(key) = entries.get("k") {
+        fields["k"] = json!(key);
+    }
+    fields
 }
 
 fn answer_fields(line: &str) -> Json {
--- a/crates/coordinator/src/backends/opensearch/search.rs
+++ b/crates/coordinator/src/backends/opensearch/search.rs
@@ -16,10 +16,12 @@
         }
     };
     let remaining_ms = (((part.deadline - now) * 1000.0) as i64).max(1);
+    let key = part.idempotency_key.as_ref();
+    let key_field = key.map_or(String::new(), |key| format!("Idempotency-Key: {key}\r\n"));
     let head = format!(
         "POST /{}/_search?preference=_shards:{}&allow_partial_search_results=false\
          &cancel_after_time_interval={remaining_ms}ms HTTP/1.1\r\nHost: {host}\r\nX-Opaque-Id: {}.{}\r\n\
-         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+         {key_field}Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
         part.class,
         part.shard,
         part.external_id,
--- a/crates/coordinator/src/configuration/effective.rs
+++ b/crates/coordinator/src/configuration/effective.rs
@@ -74,6 +74,7 @@
         "deadline_s": class.deadline,
         "least_share": class.minimum_share,
         "may_run_twice": class.idempotency != Idempotency::AtMostOnce,
+        "needs_key": class.idempotency == Idempotency::IdempotentWithKey,
     })
 }
 
--- a/crates/coordinator/src/connections/pool/tests.rs
+++ b/crates/coordinator/src/connections/pool/tests.rs
@@ -58,6 +58,7 @@
         external_id: format!("q{}", attempt.part.0).into(),
         class: "c".into(),
         shard: 0,
+        idempotency_key: None,
         payload: Payload::Plain("t".into()),
         deadline: clock.now() + 9.0,
         contracts: None,
--- a/crates/coordinator/src/fronts/front.rs
+++ b/crates/coordinator/src/fronts/front.rs
@@ -6,7 +6,7 @@
 use crate::clock::Clock;
 use crate::configuration::ConnectionLimits;
 use crate::contract::Contracts;
-use crate::messages::{ClientRequest, ServedConfiguration, ServingPhase};
+use crate::messages::{ClientRequest, IdempotencyKey, ServedConfiguration, ServingPhase};
 use cairnroad_contract::drift::Interface;
 use cairnroad_types::Seconds;
 use std::cell::Cell;
@@ -66,13 +66,24 @@
     /// Generates a name for a request without one. The names differ from each other and, as each coordinator has its
     /// own seed, from those of other coordinators.
     pub fn generate_request_name(&self) -> String {
+        format!("{:016x}", self.next_request_number())
+    }
+
+    /// Generates the idempotency key of a query whose protocol states none. The time makes it differ from the keys that
+    /// this coordinator generated before a restart, which servers may still remember.
+    pub fn generate_idempotency_key(&self) -> IdempotencyKey {
+        let microseconds = self.clock.now().0;
+        IdempotencyKey::from_halves(self.next_request_number(), microseconds as u64)
+    }
+
+    fn next_request_number(&self) -> u64 {
         let number = self
             .request_name_state
             .get()
             .wrapping_add(0x9e37_79b9_7f4a_7c15);
         self.request_name_state.set(number);
         let mixed = (number ^ (number >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        format!("{:016x}", mixed ^ (mixed >> 29))
+        mixed ^ (mixed >> 29)
     }
 
     /// Returns the interface whose description the requests of this front are checked against.
--- a/crates/coordinator/src/fronts/opensearch/mod.rs
+++ b/crates/coordinator/src/fronts/opensearch/mod.rs
@@ -14,7 +14,7 @@
 use super::reply::Reply;
 use crate::http;
 use crate::messages::{PartSpec, Payload, Request};
-use cairnroad_types::Time;
+use cairnroad_types::{Idempotency, Time};
 use error::QueryError;
 pub use multi_search::MAX_SEARCHES;
 use parameters::{decode, SearchParameters};
@@ -129,8 +129,11 @@
 
 /// Converts a search to a request for the core, with one part per shard and equal weights.
 fn core_request(front: &Front, search: &Search, arrived_at: Time) -> Request {
-    let deadline =
-        front.served_configuration().deployment.policy.classes[search.index.class].deadline;
+    let served = front.served_configuration();
+    let class = &served.deployment.policy.classes[search.index.class];
+    // The query API has no idempotency keys: a client's retry is a new query with a new key.
+    let is_keyed = class.idempotency == Idempotency::IdempotentWithKey;
+    let deadline = class.deadline;
     let weight = 1.0 / search.shards.len() as f64;
     Request {
         external_id: front.generate_request_name().into(),
@@ -146,6 +149,7 @@
             .iter()
             .map(|&shard| PartSpec { shard, weight })
             .collect(),
+        idempotency_key: is_keyed.then(|| front.generate_idempotency_key()),
         payload: Payload::Query(search.body.as_str().into()),
         contracts: None,
     }
--- a/crates/coordinator/src/fronts/platform.rs
+++ b/crates/coordinator/src/fronts/platform.rs
@@ -4,14 +4,19 @@
 use super::front::Front;
 use super::reply::Reply;
 use crate::http;
-use crate::messages::{Answer, PartAnswer, PartSpec, PartValue, Payload, Request};
+use crate::messages::{
+    Answer, IdempotencyKey, MalformedIdempotencyKey, PartAnswer, PartSpec, PartValue, Payload,
+    Request,
+};
 use cairnroad_settings::Deployment;
-use cairnroad_types::{Seconds, Time};
+use cairnroad_types::{Idempotency, Seconds, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
 /// Part of a client's deadline that is assumed to be spent on the network.
 const CLIENT_NETWORK_DELAY: Seconds = 0.003;
+/// The header field that carries the key of a query of a keyed class.
+const IDEMPOTENCY_KEY_FIELD: &str = "Idempotency-Key";
 /// Maximum length of a request id, in bytes.
 const MAX_REQUEST_ID_LENGTH: usize = 128;
 /// Upper bound of a deadline, exclusive.
@@ -66,6 +71,10 @@
     DeadlineNotANumber,
     #[error("X-Deadline is out of bounds")]
     DeadlineOutOfBounds,
+    #[error("{IDEMPOTENCY_KEY_FIELD}: {0}")]
+    MalformedIdempotencyKey(#[from] MalformedIdempotencyKey),
+    #[error("{IDEMPOTENCY_KEY_FIELD} is there twice")]
+    RepeatedIdempotencyKey,
     #[error("the body: {0}")]
     MalformedBody(#[source] serde_json::Error),
     #[error("shards is empty")]
@@ -130,6 +139,10 @@
         .class_index(header("X-Class")?)
         .ok_or(RequestError::UnknownClass)?;
     let deadline = parse_deadline(header("X-Deadline")?)?;
+    let idempotency_key = match deployment.policy.classes[class].idempotency {
+        Idempotency::IdempotentWithKey => Some(required_idempotency_key(message)?),
+        Idempotency::Idempotent | Idempotency::AtMostOnce => None,
+    };
     let body: Body = serde_json::from_slice(&message.body).map_err(RequestError::MalformedBody)?;
     let parts: Vec<_> = body
         .shards
@@ -148,11 +161,24 @@
         client_retry: message.fields.get("X-Retry") == Some("1"),
         expected_work: work_micros.map(|micros| micros / MICROS_PER_SECOND),
         parts,
+        idempotency_key,
         payload: Payload::Plain(body.q.into()),
         contracts: None,
     })
 }
 
+/// Returns the key of a query of a keyed class, which has to state exactly one.
+fn required_idempotency_key(message: &http::Request) -> Result<IdempotencyKey, RequestError> {
+    let mut values = message.fields.values(IDEMPOTENCY_KEY_FIELD);
+    let value = values
+        .next()
+        .ok_or(RequestError::MissingHeader(IDEMPOTENCY_KEY_FIELD))?;
+    if values.next().is_some() {
+        return Err(RequestError::RepeatedIdempotencyKey);
+    }
+    Ok(IdempotencyKey::parse(value)?)
+}
+
 /// Returns whether data nodes accept this request id, which is written in the head of frames.
 fn is_request_id(id: &str) -> bool {
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
--- a/crates/coordinator/src/http/head.rs
+++ b/crates/coordinator/src/http/head.rs
@@ -33,7 +33,7 @@
     }
 
     /// Iterates over the values of all fields called `name`.
-    pub(super) fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+    pub fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
         self.0
             .iter()
             .filter(move |(field, _)| field.eq_ignore_ascii_case(name))
--- a/crates/coordinator/src/messages/attempt.rs
+++ b/crates/coordinator/src/messages/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts at a part: their ids, the form in which the core sends them, and their results.
 
-use super::{ContractsInForce, PartValue, Payload};
+use super::{ContractsInForce, IdempotencyKey, PartValue, Payload};
 use cairnroad_types::{Outcome, RequestId, Time};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -32,6 +32,8 @@
     pub class: Arc<str>,
     /// The shard that the part queries.
     pub shard: u32,
+    /// The idempotency key of the request, the same for all attempts; `None` unless the class is keyed.
+    pub idempotency_key: Option<IdempotencyKey>,
     /// The payload of the request.
     pub payload: Payload,
     /// The time at which the core stops waiting for the answer.
--- a/crates/coordinator/src/messages/request.rs
+++ b/crates/coordinator/src/messages/request.rs
@@ -1,6 +1,6 @@
 //! Requests as the fronts submit them to the core.
 
-use super::Answer;
+use super::{Answer, IdempotencyKey};
 use cairnroad_contract::enforcement::ActiveContracts;
 use cairnroad_types::{Seconds, Time};
 use std::sync::Arc;
@@ -51,6 +51,8 @@
     pub expected_work: Option<Seconds>,
     /// The parts of the request, each of which queries one shard.
     pub parts: Vec<PartSpec>,
+    /// The key that every attempt carries; `None` unless the class is keyed.
+    pub idempotency_key: Option<IdempotencyKey>,
     /// The payload of every part.
     pub payload: Payload,
     /// The descriptions that the servers' answers are checked against.
--- a/crates/coordinator/src/pipeline/core/tests.rs
+++ b/crates/coordinator/src/pipeline/core/tests.rs
@@ -122,6 +122,7 @@
             shard: 0,
             weight: 1.0,
         }],
+        idempotency_key: None,
         payload: Payload::Plain("t".into()),
         contracts: None,
     }
--- a/crates/coordinator/src/pipeline/request_table.rs
+++ b/crates/coordinator/src/pipeline/request_table.rs
@@ -222,6 +222,7 @@
             external_id: request.external_id.clone(),
             class: self.class_names.get(request.class)?.clone(),
             shard: request.parts.get(open_part.index)?.shard,
+            idempotency_key: request.idempotency_key.clone(),
             payload: request.payload.clone(),
             deadline,
             contracts: request.contracts.clone(),
--- a/crates/coordinator/src/pipeline/request_table/tests.rs
+++ b/crates/coordinator/src/pipeline/request_table/tests.rs
@@ -38,6 +38,7 @@
             shard: 0,
             weight: 1.0,
         }],
+        idempotency_key: None,
         payload: Payload::Plain("t".into()),
         contracts: None,
     };
--- a/crates/coordinator/src/published_descriptions.rs
+++ b/crates/coordinator/src/published_descriptions.rs
@@ -31,6 +31,7 @@
         latency_objective_seconds: class.latency_objective,
         deadline_seconds: class.deadline,
         is_idempotent: class.idempotency != Idempotency::AtMostOnce,
+        needs_key: class.idempotency == Idempotency::IdempotentWithKey,
         minimum_share: class.minimum_share,
     }
 }
--- a/crates/coordinator/tests/common/coordinator.rs
+++ b/crates/coordinator/tests/common/coordinator.rs
@@ -146,10 +146,18 @@
         members: Vec<Value>,
         change: impl FnOnce(&mut Value),
     ) -> TestCoordinator {
-        Self::start_setup(
-            Setup::new(WireFormat::Platform, data_nodes, members),
-            change,
-        )
+        Self::start_with_change(WireFormat::Platform, data_nodes, members, change)
+    }
+
+    /// Starts the program with data nodes that speak `wire`, after `change` was applied to the default platform
+    /// configuration.
+    pub fn start_with_change(
+        wire: WireFormat,
+        data_nodes: Arc<DataNodes>,
+        members: Vec<Value>,
+        change: impl FnOnce(&mut Value),
+    ) -> TestCoordinator {
+        Self::start_setup(Setup::new(wire, data_nodes, members), change)
     }
 
     /// Starts the program with this limit of open descriptors.
@@ -252,6 +260,33 @@
         deadline: &str,
         shards: &[u32],
         query: &str,
+    ) -> Response {
+        self.post_api_with_fields(id, class, deadline, shards, query, &[])
+    }
+
+    /// Sends a request of a keyed class, with an idempotency key that differs for each id.
+    pub fn post_keyed(
+        &self,
+        id: &str,
+        class: &str,
+        deadline: &str,
+        shards: &[u32],
+        query: &str,
+    ) -> Response {
+        let digits: String = id.bytes().map(|byte| format!("{byte:02x}")).collect();
+        let key = format!("{digits:0>32}");
+        let fields = [("Idempotency-Key", key.as_str())];
+        self.post_api_with_fields(id, class, deadline, shards, query, &fields)
+    }
+
+    fn post_api_with_fields(
+        &self,
+        id: &str,
+        class: &str,
+        deadline: &str,
+        shards: &[u32],
+        query: &str,
+        more_fields: &[(&str, &str)],
     ) -> Response {
         let weight = 1.0 / shards.len() as f64;
         let shards: Vec<Value> = shards
@@ -259,11 +294,12 @@
             .map(|shard| json!({"shard": shard, "weight": weight}))
             .collect();
         let body = json!({"shards": shards, "q": query}).to_string();
-        let fields = [
+        let mut fields = vec![
             ("X-Request-Id", id),
             ("X-Class", class),
             ("X-Deadline", deadline),
         ];
+        fields.extend(more_fields);
         self.call(self.platform, "POST /api", &fields, &body)
     }
 
--- a/crates/coordinator/tests/common/data_nodes.rs
+++ b/crates/coordinator/tests/common/data_nodes.rs
@@ -4,7 +4,7 @@
 use super::frame_node::start_frame_node;
 use super::search_node::start_search_node;
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
@@ -31,6 +31,8 @@
     pub server: usize,
     pub query: String,
     pub shard: u32,
+    /// The idempotency key that the part carries, if any.
+    pub key: Option<String>,
     pub behavior: Behavior,
     pub cancelled: Arc<AtomicBool>,
     pub received_at: Instant,
@@ -60,7 +62,13 @@
     }
 
     /// Records a received part and chooses the data node's behavior for it.
-    pub fn receive(&self, server: usize, query: &str, shard: u32) -> ReceivedPart {
+    pub fn receive(
+        &self,
+        server: usize,
+        query: &str,
+        shard: u32,
+        key: Option<&str>,
+    ) -> ReceivedPart {
         let mut received = self.received.lock().unwrap();
         let marker = marker(query);
         let earlier_attempts = received
@@ -73,6 +81,7 @@
             server,
             query: query.into(),
             shard,
+            key: key.map(String::from),
             behavior,
             cancelled: Arc::default(),
             received_at: Instant::now(),
@@ -81,6 +90,36 @@
         part
     }
 
+    /// Returns the idempotency keys of all attempts at a part, in order of arrival; an empty text for an attempt without
+    /// a key.
+    pub fn keys_of(&self, marker: u64, shard: u32) -> Vec<String> {
+        let received = self.received.lock().unwrap();
+        let attempts = received
+            .iter()
+            .filter(|part| self::marker(&part.query) == marker && part.shard == shard);
+        attempts
+            .map(|part| part.key.clone().unwrap_or_default())
+            .collect()
+    }
+
+    /// Returns how often each part of each query was applied, by marker and shard, if the holders of a shard drop every
+    /// part whose key they know. A part without a key can't be known.
+    pub fn application_counts(&self) -> BTreeMap<(u64, u32), usize> {
+        let mut known = BTreeSet::new();
+        let mut counts = BTreeMap::new();
+        let received = self.received.lock().unwrap();
+        for part in received.iter().filter(|part| part.behavior.executes()) {
+            let is_repeat = part
+                .key
+                .as_ref()
+                .is_some_and(|key| !known.insert((part.shard, key.clone())));
+            if !is_repeat {
+                *counts.entry((marker(&part.query), part.shard)).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     /// Returns how often each part of each query ran, by marker and shard.
     pub fn execution_counts(&self) -> BTreeMap<(u64, u32), usize> {
         let mut counts = BTreeMap::new();
--- a/crates/coordinator/tests/common/frame_node.rs
+++ b/crates/coordinator/tests/common/frame_node.rs
@@ -48,11 +48,11 @@
                 }
             }
             b'Q' => {
-                for (id, shard, query) in calls(&text) {
-                    let part = data_nodes.receive(number, query, shard);
-                    in_flight.insert(id.clone(), part.cancelled.clone());
+                for call in calls(&text) {
+                    let part = data_nodes.receive(number, call.query, call.shard, call.key);
+                    in_flight.insert(call.id.clone(), part.cancelled.clone());
                     let writer = writer.clone();
-                    thread::spawn(move || answer(&writer, &id, &part));
+                    thread::spawn(move || answer(&writer, &call.id, &part));
                 }
             }
             _ => {
@@ -63,15 +63,35 @@
     }
 }
 
-/// Parses the calls of a `Q` frame into the id, shard and query of each.
-fn calls(mut text: &str) -> Vec<(String, u32, &str)> {
+/// One part of a `Q` frame.
+struct Call<'a> {
+    id: String,
+    shard: u32,
+    /// The entry `k` of the list.
+    key: Option<&'a str>,
+    query: &'a str,
+}
+
+/// Parses the parts of a `Q` frame. Asserts the form of each part's list: `d=MILLISECONDS`, then `k=KEY` if there is one.
+fn calls(mut text: &str) -> Vec<Call<'_>> {
     let mut calls = Vec::new();
     while !text.is_empty() {
         let (line, after) = text.split_once('\n').unwrap();
         let words: Vec<&str> = line.split(' ').collect();
         let length: usize = words[3].parse().unwrap();
         let (query, rest) = after.split_at(length);
-        calls.push((words[0].to_string(), words[1].parse().unwrap(), query));
+        let (wait, key) = match words[2].split_once(',') {
+            Some((wait, key)) => (wait, Some(key.strip_prefix("k=").unwrap())),
+            None => (words[2], None),
+        };
+        let millis = wait.strip_prefix("d=").unwrap();
+        assert!(millis.parse::<u64>().unwrap() > 0, "{line}");
+        calls.push(Call {
+            id: words[0].to_string(),
+            shard: words[1].parse().unwrap(),
+            key,
+            query,
+        });
         text = rest;
     }
     calls
--- a/crates/coordinator/tests/common/search_node.rs
+++ b/crates/coordinator/tests/common/search_node.rs
@@ -39,8 +39,9 @@
             .unwrap()
             .push(message.line.clone());
         let shard = requested_shard(&message)?;
+        let key = message.fields.get("idempotency-key").cloned();
         let query = String::from_utf8(message.body).unwrap();
-        let part = data_nodes.receive(number, &query, shard);
+        let part = data_nodes.receive(number, &query, shard, key.as_deref());
         let hits = hits(marker(&query), shard);
         match part.behavior {
             Behavior::CloseMidAnswer => {
--- a/crates/coordinator/tests/deployment_settings.rs
+++ b/crates/coordinator/tests/deployment_settings.rs
@@ -273,13 +273,12 @@
         });
         for class in classes {
             let name = class["name"].as_str().unwrap();
-            let answer = coordinator.post_api(
-                name,
-                name,
-                &class["deadlineS"].to_string(),
-                &[1, 2, 3],
-                "~1~",
-            );
+            let deadline = class["deadlineS"].to_string();
+            let answer = if class["effect"] == "deduplicated" {
+                coordinator.post_keyed(name, name, &deadline, &[1, 2, 3], "~1~")
+            } else {
+                coordinator.post_api(name, name, &deadline, &[1, 2, 3], "~1~")
+            };
             assert_eq!(answer.status, 200, "{name}: {}", answer.json);
         }
         let since = Instant::now();
--- a/crates/coordinator/tests/race_conditions.rs
+++ b/crates/coordinator/tests/race_conditions.rs
@@ -278,7 +278,7 @@
             // second.
             let status = scope.spawn(|| {
                 coordinator
-                    .post_api("keyed", "pick-confirm", "2.5", &[1], "~1~")
+                    .post_keyed("keyed", "pick-confirm", "2.5", &[1], "~1~")
                     .status
             });
             thread::sleep(Duration::from_millis(1000));
--- a/crates/testbed/src/chaos/figures.rs
+++ b/crates/testbed/src/chaos/figures.rs
@@ -27,6 +27,8 @@
     let bytes: u64 = traffic.values().map(|sent| sent.bytes).sum();
     let per_member_second =
         |total: u64| total as f64 / scenario.span / scenario.coordinators as f64;
+    let run_log = run.fleet.run_log.borrow();
+    let dropped_repeats = run_log.arrivals.iter().filter(|arrival| arrival.dropped);
     let processes = run.processes.borrow();
     let usages: Vec<ProcessUsage> = processes.values().filter_map(Process::usage).collect();
     let process_count = usages.len().max(1) as f64;
@@ -41,6 +43,7 @@
         "refused": count(Ending::Rejected),
         "failed": count(Ending::Failed),
         "late": count(Ending::Late),
+        "dropped_repeats": dropped_repeats.count(),
         "unanswered": count(Ending::Unanswered) + count(Ending::Disconnected),
         "cpu_ms_a_process_s": round_to_tenth(cpu_seconds * 1e3 / process_count / scenario.span),
         "memory_mb": round_to_tenth(memory_mb / process_count),
--- a/crates/testbed/src/chaos/run.rs
+++ b/crates/testbed/src/chaos/run.rs
@@ -12,7 +12,7 @@
 use crate::node_model::NodeSpec;
 use crate::workload::{
     arrivals, run_client, ClientOptions, Fronts, IdleConnections, QueryArrival, Workload,
-    AT_MOST_ONCE, LISTEN_AFTER_DEADLINE,
+    LISTEN_AFTER_DEADLINE,
 };
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -79,7 +79,7 @@
         let launcher = ProcessLauncher {
             program,
             folder: folder.to_path_buf(),
-            deployment: deployment(&fleet.spec),
+            deployment: deployment(&scenario, &fleet.spec),
             project_settings: "[log]\nlevel = \"info\"\n".to_string(),
         };
         let mut node_addresses = Vec::new();
@@ -246,6 +246,7 @@
             fronts: Fronts::single(front),
             start,
             retries: 0,
+            confirm_effect: self.scenario.confirm_effect(),
             listen_after_deadline: LISTEN_AFTER_DEADLINE,
         };
         let sent_at = self.now();
@@ -299,7 +300,8 @@
         }
         let mut history = std::mem::take(&mut *self.history.borrow_mut());
         history.faults.sort_by(|a, b| a.at.total_cmp(&b.at));
-        history.run_log_violations = self.fleet.run_log.borrow().violations(&AT_MOST_ONCE);
+        let repeat_rules = self.scenario.confirm_effect().repeat_rules();
+        history.run_log_violations = self.fleet.run_log.borrow().violations(&repeat_rules);
         Ok(ChaosReport {
             violations: history.violations(self.scenario.settling_seconds),
             figures: figures(self, &history),
@@ -328,10 +330,11 @@
     }
 }
 
-fn deployment(spec: &FleetSpec) -> DeploymentSpec {
+fn deployment(scenario: &Scenario, spec: &FleetSpec) -> DeploymentSpec {
     DeploymentSpec {
         cells_per_shard: CELLS_PER_SHARD,
         overload_multiple: 2.5,
+        confirm_effect: scenario.confirm_effect(),
         ..DeploymentSpec::for_nodes(&spec.node, spec.cells, spec.shards)
     }
 }
--- a/crates/testbed/src/chaos/scenario.rs
+++ b/crates/testbed/src/chaos/scenario.rs
@@ -1,6 +1,7 @@
 //! Reads and validates scenario files, which state the number of processes and the faults to inject at given times.
 //! Errors name the line and the key.
 
+use crate::workload::ConfirmEffect;
 use serde::Deserialize;
 use std::ops::Range;
 use std::path::Path;
@@ -124,6 +125,8 @@
     pub rate: f64,
     /// Length of the run in seconds.
     pub span: f64,
+    /// Whether confirms are keyed, so that they may be repeated, instead of being sent at most once.
+    pub keyed_confirms: bool,
     /// Whether the coordinators form a cluster.
     pub clustered: bool,
     /// Seconds after a fault within which every membership view has to become correct.
@@ -132,6 +135,16 @@
     pub faults: Vec<TimedFault>,
 }
 
+impl Scenario {
+    /// Returns what happens if a part of a confirm is sent twice.
+    pub fn confirm_effect(&self) -> ConfirmEffect {
+        match self.keyed_confirms {
+            true => ConfirmEffect::Keyed,
+            false => ConfirmEffect::AtMostOnce,
+        }
+    }
+}
+
 /// The reason why a scenario file is rejected.
 #[derive(Debug, thiserror::Error)]
 pub enum ScenarioError {
@@ -191,6 +204,8 @@
     rate: Spanned<f64>,
     span: Spanned<f64>,
     #[serde(default)]
+    keyed_confirms: bool,
+    #[serde(default)]
     peers: bool,
     #[serde(default = "default_settling_seconds")]
     settled_s: f64,
@@ -250,6 +265,7 @@
         nodes: file.nodes.into_inner(),
         rate: file.rate.into_inner(),
         span: file.span.into_inner(),
+        keyed_confirms: file.keyed_confirms,
         clustered: file.peers,
         settling_seconds: file.settled_s,
         faults,
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{Fleet, FleetSpec, Wire};
 use crate::node_model::NodeSpec;
 use crate::workload::{
-    arrivals, earned_value, play, ClientOptions, Ending, QueryOutcome, Workload, AT_MOST_ONCE,
+    arrivals, earned_value, play, ClientOptions, ConfirmEffect, Ending, QueryOutcome, Workload,
     LISTEN_AFTER_DEADLINE, PRIORITY_WEIGHTS,
 };
 use std::cell::RefCell;
@@ -60,7 +60,10 @@
     clients.abort();
     coordinator.stop().await;
 
-    let violations = fleet.run_log.borrow().violations(&AT_MOST_ONCE);
+    let violations = fleet
+        .run_log
+        .borrow()
+        .violations(&ConfirmEffect::AtMostOnce.repeat_rules());
     for violation in &violations {
         println!("violation: {violation}");
     }
@@ -117,6 +120,7 @@
         fronts: coordinator.fronts,
         start: Instant::now(),
         retries: workload.retries,
+        confirm_effect: ConfirmEffect::AtMostOnce,
         listen_after_deadline: LISTEN_AFTER_DEADLINE,
     };
     let arrivals = arrivals(&workload, fleet.spec.shards, SEED);
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -3,7 +3,8 @@
 use crate::error::TestbedError;
 use crate::node_model::NodeSpec;
 use crate::workload::{
-    CLASSES, DEADLINES, IDEMPOTENCY, LATENCY_OBJECTIVE, LATE_ANSWER_SHARE, PRIORITY_WEIGHTS,
+    ConfirmEffect, CLASSES, DEADLINES, DEDUP_WINDOW, LATENCY_OBJECTIVE, LATE_ANSWER_SHARE,
+    PRIORITY_WEIGHTS,
 };
 use serde_json::{json, Value};
 use std::fmt::Write;
@@ -26,6 +27,8 @@
     pub overload_multiple: f64,
     /// Window over which incoming work is summed to detect overload, in seconds.
     pub overload_window_seconds: f64,
+    /// What happens if a part of a confirm is sent twice.
+    pub confirm_effect: ConfirmEffect,
 }
 
 impl DeploymentSpec {
@@ -39,13 +42,14 @@
             slow_start_seconds: node.warm_s,
             overload_multiple: node.fall_multiple.max(1.0),
             overload_window_seconds: node.fall_s,
+            confirm_effect: ConfirmEffect::default(),
         }
     }
 
     /// Returns the `settings` object of the coordinator's JSON file.
     pub fn settings(&self) -> Value {
         json!({
-            "classes": [class_settings(0), class_settings(1)],
+            "classes": [self.class_settings(0), self.class_settings(1)],
             "groupSize": 1,
             "registryMode": "pushed",
             "tickS": 0.005,
@@ -81,17 +85,18 @@
             },
         })
     }
-}
 
-fn class_settings(class: usize) -> Value {
-    json!({
-        "name": CLASSES[class],
-        "aimS": LATENCY_OBJECTIVE,
-        "deadlineS": DEADLINES[class],
-        "effect": IDEMPOTENCY[class],
-        "value": PRIORITY_WEIGHTS[class],
-        "lateShare": LATE_ANSWER_SHARE,
-    })
+    fn class_settings(&self, class: usize) -> Value {
+        json!({
+            "name": CLASSES[class],
+            "aimS": LATENCY_OBJECTIVE,
+            "deadlineS": DEADLINES[class],
+            "effect": self.confirm_effect.settings()[class],
+            "dedupWindowS": DEDUP_WINDOW,
+            "value": PRIORITY_WEIGHTS[class],
+            "lateShare": LATE_ANSWER_SHARE,
+        })
+    }
 }
 
 /// One entry of an endpoint list.
--- a/crates/testbed/src/experiment/play.rs
+++ b/crates/testbed/src/experiment/play.rs
@@ -9,7 +9,7 @@
 use crate::error::TestbedError;
 use crate::fleet::Fleet;
 use crate::workload::{
-    arrivals, play, ClientOptions, Ending, QueryOutcome, AT_MOST_ONCE, LISTEN_AFTER_DEADLINE,
+    arrivals, play, ClientOptions, ConfirmEffect, Ending, QueryOutcome, LISTEN_AFTER_DEADLINE,
 };
 use std::cell::RefCell;
 use std::path::{Path, PathBuf};
@@ -167,6 +167,7 @@
             fronts: fronts.ok_or(TestbedError::NoCoordinator)?,
             start: self.start,
             retries: experiment.workload.retries,
+            confirm_effect: ConfirmEffect::AtMostOnce,
             listen_after_deadline: LISTEN_AFTER_DEADLINE,
         };
         let arrivals = arrivals(&experiment.workload, experiment.fleet.shards, seed);
@@ -176,7 +177,11 @@
     }
 
     fn violations(&self, outcomes: &[QueryOutcome]) -> Vec<String> {
-        let mut violations = self.fleet.run_log.borrow().violations(&AT_MOST_ONCE);
+        let mut violations = self
+            .fleet
+            .run_log
+            .borrow()
+            .violations(&ConfirmEffect::AtMostOnce.repeat_rules());
         violations.extend(outcomes.iter().filter_map(|one| one.answer_fault.clone()));
         let unanswered = outcomes
             .iter()
--- a/crates/testbed/src/fleet/frames.rs
+++ b/crates/testbed/src/fleet/frames.rs
@@ -1,6 +1,8 @@
 //! Implements the node side of the platform's binary frame protocol.
 
-use super::node_server::{NodeBehavior, NodeServer, ReplySender, ReplyTo, MAX_MESSAGE_BYTES};
+use super::node_server::{
+    NodeBehavior, NodeServer, ReceivedCall, ReplySender, ReplyTo, MAX_MESSAGE_BYTES,
+};
 use super::Fleet;
 use crate::node_model::LoadReport;
 use std::collections::HashMap;
@@ -11,6 +13,8 @@
 struct CalledPart<'a> {
     id: &'a str,
     shard: u32,
+    /// The entry `k` of the list: the idempotency key of the query.
+    key: Option<&'a str>,
     text: &'a str,
 }
 
@@ -63,8 +67,13 @@
                 writer: replies.clone(),
                 id: part.id.into(),
             };
-            let received =
-                self.receive_part(server, part.text, part.shard, first_of_call, reply_to);
+            let call = ReceivedCall {
+                text: part.text,
+                shard: part.shard,
+                key: part.key,
+                first_of_call,
+            };
+            let received = self.receive_part(server, &call, reply_to);
             parts.insert(part.id.into(), received.id);
             first_of_call = false;
             if received.rejected {
@@ -85,17 +94,23 @@
     String::from_utf8(body).map_err(|_| malformed())
 }
 
-/// Splits the first part off a call: a line of id, shard, time left and text length, then the text.
+/// Splits the first part off a call: a line of id, shard, list and text length, then the text.
 fn split_part(body: &str) -> std::io::Result<(CalledPart<'_>, &str)> {
     let (line, rest) = body.split_once('\n').ok_or_else(malformed)?;
     let words: Vec<&str> = line.split(' ').collect();
-    let [id, shard, _time_left, length] = words[..] else {
+    let [id, shard, list, length] = words[..] else {
         return Err(malformed());
     };
     let shard = shard.parse().map_err(|_| malformed())?;
     let length: usize = length.parse().map_err(|_| malformed())?;
     let (text, rest) = rest.split_at_checked(length).ok_or_else(malformed)?;
-    Ok((CalledPart { id, shard, text }, rest))
+    let part = CalledPart {
+        id,
+        shard,
+        key: list.split(',').find_map(|entry| entry.strip_prefix("k=")),
+        text,
+    };
+    Ok((part, rest))
 }
 
 fn malformed() -> std::io::Error {
--- a/crates/testbed/src/fleet/mod.rs
+++ b/crates/testbed/src/fleet/mod.rs
@@ -9,11 +9,14 @@
 use crate::error::TestbedError;
 use crate::node_model::{NodeModel, NodeSpec};
 use crate::run_log::RunLog;
+use crate::workload::DEDUP_WINDOW;
+use node_server::ReceivedCall;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use rand_distr::LogNormal;
 use serde::Deserialize;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
@@ -113,6 +116,8 @@
     pub servers: Vec<Rc<NodeServer>>,
     /// The log of all parts that reached the nodes.
     pub run_log: RefCell<RunLog>,
+    /// When a part was first taken, by its shard and key. All holders of a shard share this knowledge.
+    known_keys: RefCell<HashMap<(u32, String), f64>>,
     started_at: Instant,
     rng: RefCell<StdRng>,
     work_distributions: [LogNormal<f64>; 2],
@@ -150,6 +155,7 @@
             spec,
             servers,
             run_log: RefCell::default(),
+            known_keys: RefCell::default(),
             started_at: Instant::now(),
             rng: RefCell::new(StdRng::seed_from_u64(seed)),
             work_distributions,
@@ -166,6 +172,22 @@
         self.started_at.elapsed().as_secs_f64()
     }
 
+    /// Returns whether a part's key was taken within the deduplication window. Otherwise its window begins now.
+    fn is_known_repeat(&self, now: f64, call: &ReceivedCall<'_>) -> bool {
+        let Some(key) = call.key else {
+            return false;
+        };
+        let mut known_keys = self.known_keys.borrow_mut();
+        let first_taken = known_keys
+            .entry((call.shard, key.to_string()))
+            .or_insert(now);
+        let is_repeat = *first_taken < now && now - *first_taken < DEDUP_WINDOW;
+        if !is_repeat {
+            *first_taken = now;
+        }
+        is_repeat
+    }
+
     /// Changes the behavior of a node. A dead node restarts on its old address, in slow start.
     ///
     /// # Errors
--- a/crates/testbed/src/fleet/node_server.rs
+++ b/crates/testbed/src/fleet/node_server.rs
@@ -63,6 +63,17 @@
     },
 }
 
+/// A part as a node reads it from a call.
+pub(super) struct ReceivedCall<'a> {
+    /// The text of the query.
+    pub(super) text: &'a str,
+    pub(super) shard: u32,
+    /// The idempotency key of the query, if the part carries one.
+    pub(super) key: Option<&'a str>,
+    /// Whether the part is the first of its call, which also carries the work of the call.
+    pub(super) first_of_call: bool,
+}
+
 /// A part that is waiting or running.
 struct PendingPart {
     reply_to: ReplyTo,
@@ -198,15 +209,20 @@
         }
     }
 
-    /// Receives a part and records it. The first part of a call also carries the work of the call.
+    /// Receives a part and records it. A part whose key a holder of its shard knows is worked on and answered, but its
+    /// effect is dropped.
     pub(super) fn receive_part(
         &self,
         server: &NodeServer,
-        text: &str,
-        shard: u32,
-        first_of_call: bool,
+        call: &ReceivedCall<'_>,
         reply_to: ReplyTo,
     ) -> ReceivedPart {
+        let ReceivedCall {
+            text,
+            shard,
+            first_of_call,
+            ..
+        } = *call;
         let marker = parse_marker(text).unwrap_or(QueryMarker {
             class: 0,
             query: 0,
@@ -224,12 +240,16 @@
                 .borrow_mut()
                 .admit(now, id, work, first_of_call),
         };
+        let may_have_run = admission != Admission::Rejected;
+        let dropped = may_have_run && self.is_known_repeat(now, call);
         self.run_log.borrow_mut().arrivals.push(PartArrival {
             arrived_at: now,
             server: server.index,
             marker,
             shard,
-            may_have_run: admission != Admission::Rejected,
+            key: call.key.map(String::from),
+            dropped,
+            may_have_run,
         });
         match admission {
             Admission::Rejected => {}
--- a/crates/testbed/src/fleet/search.rs
+++ b/crates/testbed/src/fleet/search.rs
@@ -1,6 +1,6 @@
 //! Implements the node side of the query API.
 
-use super::node_server::{NodeServer, ReplySender, ReplyTo, MAX_MESSAGE_BYTES};
+use super::node_server::{NodeServer, ReceivedCall, ReplySender, ReplyTo, MAX_MESSAGE_BYTES};
 use super::Fleet;
 use serde_json::json;
 use std::rc::Rc;
@@ -29,12 +29,18 @@
                 return Ok(());
             }
             let shard = requested_shard(&request_line);
-            let text = read_body(reader).await?;
+            let message = read_message(reader).await?;
             let reply_to = ReplyTo::Search {
                 writer: replies.clone(),
             };
             let shard = shard.ok_or_else(malformed)?;
-            let received = self.receive_part(server, &text, shard, true, reply_to);
+            let call = ReceivedCall {
+                text: &message.body,
+                shard,
+                key: message.key.as_deref(),
+                first_of_call: true,
+            };
+            let received = self.receive_part(server, &call, reply_to);
             last_part = Some(received.id);
             if received.rejected {
                 let _ = replies.send(encode_response(429, REJECTED_BODY));
@@ -48,8 +54,18 @@
     after_key.split(['&', ' ']).next()?.parse().ok()
 }
 
-async fn read_body(reader: &mut (impl AsyncBufReadExt + Unpin)) -> std::io::Result<String> {
+/// The parts of a request that a node uses.
+struct SearchMessage {
+    key: Option<String>,
+    body: String,
+}
+
+/// Reads a request from its header fields on.
+async fn read_message(
+    reader: &mut (impl AsyncBufReadExt + Unpin),
+) -> std::io::Result<SearchMessage> {
     let mut length = 0;
+    let mut key = None;
     loop {
         let mut field = String::new();
         reader.read_line(&mut field).await?;
@@ -58,6 +74,8 @@
         };
         if name.eq_ignore_ascii_case("content-length") {
             length = value.trim().parse().map_err(|_| malformed())?;
+        } else if name.eq_ignore_ascii_case("idempotency-key") {
+            key = Some(value.trim().to_string());
         }
     }
     if length > MAX_MESSAGE_BYTES {
@@ -65,7 +83,8 @@
     }
     let mut body = vec![0; length];
     reader.read_exact(&mut body).await?;
-    String::from_utf8(body).map_err(|_| malformed())
+    let body = String::from_utf8(body).map_err(|_| malformed())?;
+    Ok(SearchMessage { key, body })
 }
 
 fn malformed() -> std::io::Error {
--- a/crates/testbed/src/run_log.rs
+++ b/crates/testbed/src/run_log.rs
@@ -1,6 +1,6 @@
 //! The log of the parts that reached the emulated nodes, and the rules that it is checked against.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Seconds after its removal within which a server may still receive new parts, by the platform's rules.
 const REMOVAL_GRACE_SECONDS: f64 = 0.25;
@@ -40,8 +40,19 @@
     format!("stock {query}/{shard}")
 }
 
+/// Whether a part of a class may reach data nodes more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatRule {
+    /// A part may run any number of times.
+    Allowed,
+    /// A part carries the query's idempotency key, by which data nodes drop a repeat.
+    DroppedByKey,
+    /// A part may run only once.
+    Forbidden,
+}
+
 /// A part that reached a node.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct PartArrival {
     /// Arrival time, in seconds since the fleet's start.
     pub arrived_at: f64,
@@ -51,6 +62,10 @@
     pub marker: QueryMarker,
     /// Shard of the part.
     pub shard: u32,
+    /// The idempotency key that the part carried, if any.
+    pub key: Option<String>,
+    /// Whether the node recognized the part as a repeat by its key and dropped it.
+    pub dropped: bool,
     /// Whether the part ran or may have run; false only if the node rejected it.
     pub may_have_run: bool,
 }
@@ -67,15 +82,18 @@
 }
 
 impl RunLog {
-    /// Returns descriptions of all violations. `at_most_once` states, by class, whether each part may run only once.
-    pub fn violations(&self, at_most_once: &[bool]) -> Vec<String> {
+    /// Returns descriptions of all violations. `rules` states, by class, whether a part may be repeated.
+    pub fn violations(&self, rules: &[RepeatRule]) -> Vec<String> {
         let late = self.arrivals_after_removal();
-        let repeated = self.repeated_runs(at_most_once);
+        let repeated = self.repeated_runs(rules);
+        let keyless = self.parts_without_key(rules);
+        let reapplied = self.keys_applied_again(rules);
         let overloaded = self
             .overloaded
             .iter()
             .map(|server| format!("server {server} was overloaded in slow start"));
-        late.chain(repeated).chain(overloaded).collect()
+        let repeats = repeated.chain(keyless).chain(reapplied);
+        late.chain(repeats).chain(overloaded).collect()
     }
 
     fn arrivals_after_removal(&self) -> impl Iterator<Item = String> + '_ {
@@ -93,11 +111,11 @@
         })
     }
 
-    fn repeated_runs(&self, at_most_once: &[bool]) -> impl Iterator<Item = String> {
+    fn repeated_runs(&self, rules: &[RepeatRule]) -> impl Iterator<Item = String> {
         let mut runs: BTreeMap<(u64, u32, u32), usize> = BTreeMap::new();
-        for arrival in self.arrivals.iter().filter(|arrival| arrival.may_have_run) {
+        for arrival in self.applied_parts() {
             let marker = arrival.marker;
-            if at_most_once.get(marker.class).copied().unwrap_or(false) {
+            if rule_of(rules, arrival) != RepeatRule::Allowed {
                 let part = (marker.query, marker.client_try, arrival.shard);
                 *runs.entry(part).or_default() += 1;
             }
@@ -109,6 +127,48 @@
             )
         })
     }
+
+    /// Returns the parts that ran or may have run, without those that a node dropped as repeats.
+    fn applied_parts(&self) -> impl Iterator<Item = &PartArrival> {
+        self.arrivals
+            .iter()
+            .filter(|arrival| arrival.may_have_run && !arrival.dropped)
+    }
+
+    fn parts_without_key<'a>(
+        &'a self,
+        rules: &'a [RepeatRule],
+    ) -> impl Iterator<Item = String> + 'a {
+        let keyless = self.arrivals.iter().filter(|arrival| {
+            rule_of(rules, arrival) == RepeatRule::DroppedByKey && arrival.key.is_none()
+        });
+        keyless.map(|arrival| {
+            let PartArrival { marker, shard, .. } = arrival;
+            format!("part {shard} of query {} carried no key", marker.query)
+        })
+    }
+
+    /// Describes the parts that were applied under a key that had been applied before: the repeat came after the window.
+    fn keys_applied_again<'a>(
+        &'a self,
+        rules: &'a [RepeatRule],
+    ) -> impl Iterator<Item = String> + 'a {
+        let mut applied = BTreeSet::new();
+        let keyed = self
+            .applied_parts()
+            .filter(|arrival| rule_of(rules, arrival) == RepeatRule::DroppedByKey);
+        keyed.filter_map(move |arrival| {
+            let key = arrival.key.as_deref()?;
+            let is_new = applied.insert((key, arrival.shard));
+            (!is_new).then(|| format!("part {} was applied again under key {key}", arrival.shard))
+        })
+    }
+}
+
+/// Returns the rule of the class of a part; repeats are allowed in an unknown class.
+fn rule_of(rules: &[RepeatRule], arrival: &PartArrival) -> RepeatRule {
+    let rule = rules.get(arrival.marker.class).copied();
+    rule.unwrap_or(RepeatRule::Allowed)
 }
 
 #[cfg(test)]
--- a/crates/testbed/src/workload/answer_check.rs
+++ b/crates/testbed/src/workload/answer_check.rs
@@ -1,6 +1,6 @@
 //! Checks answers against the values that the emulated nodes give.
 
-use super::classes::{AT_MOST_ONCE, SEARCH_MINIMUM_SHARE};
+use super::classes::{CONFIRM_CLASS, SEARCH_MINIMUM_SHARE};
 use super::client::Ending;
 use super::QueryArrival;
 use crate::run_log::expected_value;
@@ -54,7 +54,7 @@
         ));
     }
     let minimum = SEARCH_MINIMUM_SHARE * asked as f64 - SHARE_SLACK;
-    let needs_all = AT_MOST_ONCE[arrival.class];
+    let needs_all = arrival.class == CONFIRM_CLASS;
     if (answered as f64) < minimum || (needs_all && found != expected) {
         return Some(format!(
             "query {query}: answered with {answered} of {asked} parts, below the minimum share of its class"
--- a/crates/testbed/src/workload/client.rs
+++ b/crates/testbed/src/workload/client.rs
@@ -1,7 +1,9 @@
 //! Clients that send their queries at the scheduled times and retry.
 
 use super::answer_check::check_answer;
-use super::classes::{DEADLINES, LATENCY_OBJECTIVE, LATE_ANSWER_SHARE, PRIORITY_WEIGHTS};
+use super::classes::{
+    ConfirmEffect, DEADLINES, LATENCY_OBJECTIVE, LATE_ANSWER_SHARE, PRIORITY_WEIGHTS,
+};
 use super::http_client::{send_query, Connection};
 use super::{Fronts, QueryArrival};
 use std::cell::RefCell;
@@ -84,6 +86,8 @@
     pub start: Instant,
     /// Maximum number of client retries of a query.
     pub retries: u32,
+    /// Whether clients send confirms with an idempotency key.
+    pub confirm_effect: ConfirmEffect,
     /// Time to wait after the deadline, to distinguish a late answer from none.
     pub listen_after_deadline: Duration,
 }
@@ -129,7 +133,7 @@
         }
         client_try += 1;
         let left = time_left.as_secs_f64();
-        let asked = send_query(&arrival, client_try, options.fronts, left, &idle);
+        let asked = send_query(&arrival, client_try, &options, left, &idle);
         let listening_ends = deadline + options.listen_after_deadline;
         (ending, answer_fault) = match tokio::time::timeout_at(listening_ends, asked).await {
             Err(_) => (Ending::Unanswered, None),
--- a/crates/testbed/src/workload/http_client.rs
+++ b/crates/testbed/src/workload/http_client.rs
@@ -1,8 +1,8 @@
 //! Exchanges requests and responses over persistent HTTP/1.1 connections.
 
 use super::classes::CLASSES;
-use super::client::IdleConnections;
-use super::{Fronts, QueryArrival};
+use super::client::{ClientOptions, IdleConnections};
+use super::QueryArrival;
 use crate::run_log::QueryMarker;
 use serde_json::{json, Value};
 use std::io::{Error, ErrorKind};
@@ -30,18 +30,21 @@
 pub(super) async fn send_query(
     arrival: &QueryArrival,
     client_try: u32,
-    fronts: Fronts,
+    options: &ClientOptions,
     time_left: f64,
     idle: &IdleConnections,
 ) -> std::io::Result<HttpResponse> {
-    let address = fronts.address(arrival.query_front);
+    let address = options.fronts.address(arrival.query_front);
     let known = idle.take(address);
     let is_fresh = known.is_none();
     let mut connection = match known {
         Some(connection) => connection,
         None => connect(address).await?,
     };
-    let request = encode_request(arrival, client_try, time_left);
+    let key = options
+        .confirm_effect
+        .idempotency_key(arrival.class, arrival.query);
+    let request = encode_request(arrival, client_try, key.as_deref(), time_left);
     let mut response = exchange(&mut connection, &request).await;
     let was_closed = |error: &Error| error.kind() == ErrorKind::UnexpectedEof;
     // An idle connection may have been closed by the front. The request is then sent once more on a new connection.
@@ -62,7 +65,12 @@
     Ok(BufReader::new(stream))
 }
 
-fn encode_request(arrival: &QueryArrival, client_try: u32, time_left: f64) -> Vec<u8> {
+fn encode_request(
+    arrival: &QueryArrival,
+    client_try: u32,
+    key: Option<&str>,
+    time_left: f64,
+) -> Vec<u8> {
     let marker = QueryMarker {
         class: arrival.class,
         query: arrival.query,
@@ -74,6 +82,7 @@
     } else {
         platform_request(arrival, &marker.to_text())
     };
+    let key = key.map_or(String::new(), |key| format!("Idempotency-Key: {key}\r\n"));
     let retry = if client_try > 1 { "X-Retry: 1\r\n" } else { "" };
     format!(
         "{request_line} HTTP/1.1\r\n\
@@ -81,7 +90,7 @@
          X-Request-Id: q{}-{client_try}\r\n\
          X-Class: {class}\r\n\
          X-Deadline: {time_left:.3}\r\n\
-         {retry}Content-Type: application/json\r\n\
+         {key}{retry}Content-Type: application/json\r\n\
          Content-Length: {}\r\n\r\n{body}",
         arrival.query,
         body.len()
--- a/crates/testbed/src/workload/mod.rs
+++ b/crates/testbed/src/workload/mod.rs
@@ -9,7 +9,7 @@
 
 pub use arrivals::{arrivals, QueryArrival};
 pub use classes::{
-    AT_MOST_ONCE, CLASSES, CLASS_COUNT, DEADLINES, IDEMPOTENCY, LATENCY_OBJECTIVE,
+    ConfirmEffect, CLASSES, CLASS_COUNT, DEADLINES, DEDUP_WINDOW, LATENCY_OBJECTIVE,
     LATE_ANSWER_SHARE, PRIORITY_WEIGHTS,
 };
 pub use client::{
--- a/crates/testbed/src/workload/tests.rs
+++ b/crates/testbed/src/workload/tests.rs
@@ -82,6 +82,7 @@
                 fronts: Fronts::single(to),
                 start,
                 retries: 0,
+                confirm_effect: ConfirmEffect::AtMostOnce,
                 listen_after_deadline: Duration::from_secs_f64(listens),
             };
             run_client(due, options, IdleConnections::default())
@@ -134,6 +135,7 @@
             fronts: Fronts::single(to),
             start,
             retries: 0,
+            confirm_effect: ConfirmEffect::AtMostOnce,
             listen_after_deadline: LISTEN_AFTER_DEADLINE,
         };
         play((0..50).map(due).collect(), options, ended.clone()).await;
--- a/crates/testbed/tests/chaos.rs
+++ b/crates/testbed/tests/chaos.rs
@@ -36,6 +36,19 @@
     );
 }
 
+/// Guards against parts of keyed confirms that are repeated without their key: data nodes can't drop the repeat.
+#[test]
+fn no_keyed_confirm_is_applied_twice_under_silent_nodes_resets_and_a_kill() {
+    let output = run_scenario("keyed.toml");
+    let text = combined_output(&output);
+    assert!(output.status.success(), "{text}");
+    assert!(text.contains("0 violations"), "{text}");
+    // Without a repeated part, a run without violations would prove nothing.
+    let figure = text.split("\"dropped_repeats\":").nth(1).unwrap();
+    let count = figure.trim_start().split([',', '\n']).next().unwrap();
+    assert!(count.parse::<u64>().unwrap() > 0, "{text}");
+}
+
 /// Tests that the checker detects wrong values. Without that, a run without violations would prove nothing.
 #[test]
 fn wrong_values_of_a_data_node_are_detected() {
