--- a/crates/coordinator/src/admin_api/exchange.rs
+++ b/crates/coordinator/src/admin_api/exchange.rs
@@ -2,7 +2,9 @@
 
 use super::open_connections::RequestReceived;
 use super::AdminApi;
+use crate::connections::discard::DiscardLimiter;
 use crate::http;
+use bytes::BytesMut;
 use cairnroad_admin::request::{parse_request, AdminRequest, AdminResponse, AllowedMethod};
 use serde_json::json;
 use std::rc::Rc;
@@ -79,34 +81,32 @@
     };
     let written = timeout(LINGER, stream.write_all(&reply.to_bytes())).await;
     if matches!(written, Ok(Ok(()))) {
-        close(stream).await;
+        close(stream, &api.discards).await;
     }
 }
 
 /// Closes a connection after its client has closed it, or after the linger time.
-async fn close(mut stream: TcpStream) {
+async fn close(mut stream: TcpStream, discards: &DiscardLimiter) {
     let _ = stream.shutdown().await;
-    let mut unread = [0; 1024];
-    let _ = timeout(LINGER, async {
-        while matches!(stream.read(&mut unread).await, Ok(1..)) {}
-    })
-    .await;
+    let _ = timeout(LINGER, discards.discard(&mut stream)).await;
 }
 
 /// Reads the connection's request; `None` if the client closed the connection without one.
 async fn read_request(stream: &mut TcpStream) -> Option<Result<http::Request, http::MessageError>> {
-    let mut buffer = Vec::new();
+    let mut buffer = BytesMut::new();
+    let mut parser = http::RequestParser::default();
     loop {
-        match http::parse_request(&buffer) {
-            Ok(Some((request, _))) => return Some(Ok(request)),
+        match parser.parse(&mut buffer) {
+            Ok(Some(request)) => return Some(Ok(request)),
             Err(error) => return Some(Err(error)),
             Ok(None) => {}
         }
-        if http::expects_continue(&buffer) {
+        if parser.expects_continue() {
             return Some(Err(http::MessageError::Malformed("calls have no body")));
         }
+        buffer.reserve(http::READ_SIZE);
         match stream.read_buf(&mut buffer).await {
-            Ok(0) if !buffer.is_empty() => {
+            Ok(0) if parser.has_begun() || !buffer.is_empty() => {
                 return Some(Err(http::MessageError::Malformed("the call is not whole")))
             }
             Ok(0) | Err(_) => return None,
--- a/crates/coordinator/src/admin_api/mod.rs
+++ b/crates/coordinator/src/admin_api/mod.rs
@@ -9,6 +9,7 @@
 pub mod suspension_store;
 
 use crate::cluster::ClusterHandle;
+use crate::connections::discard::DiscardLimiter;
 use crate::messages::{CoreMessage, ServingPhase};
 use cairnroad_admin::request::{AdminRequest, AdminResponse, UnavailableReason};
 use open_connections::{OpenConnections, RequestReceived};
@@ -29,6 +30,8 @@
     pipeline: mpsc::Sender<CoreMessage>,
     phase: Rc<watch::Sender<ServingPhase>>,
     cluster: Option<Rc<ClusterHandle>>,
+    /// Limits the rate at which admin connections discard what their clients still send.
+    discards: DiscardLimiter,
 }
 
 /// Accepts admin connections for as long as the process lives, and spawns a task for each.
@@ -42,6 +45,7 @@
         pipeline,
         phase,
         cluster,
+        discards: DiscardLimiter::default(),
     });
     let mut connections = OpenConnections::default();
     loop {
--- a/crates/coordinator/src/backends/frames/codec.rs
+++ b/crates/coordinator/src/backends/frames/codec.rs
@@ -47,42 +47,72 @@
 
 type ParseResult<T> = Result<T, ErrMode<ContextError>>;
 
-/// Parses the frame at the start of `input`. Returns the frame and its total length in bytes; `None` if the frame is
-/// incomplete.
-pub fn parse_frame(input: &[u8]) -> Result<Option<(Frame<'_>, usize)>, FrameError> {
-    let Some((length, rest)) = input.split_first_chunk::<LENGTH_BYTES>() else {
-        return Ok(None);
-    };
-    let length = u32::from_be_bytes(*length);
-    if length == 0 || length > MAX_FRAME {
-        return Err(FrameError::LengthOutOfRange(length));
+/// Parses the frames of one connection. It remembers what it scanned of an incomplete frame, so that the work does not grow
+/// with the number of reads in which the frame arrives.
+#[derive(Default)]
+pub struct FrameParser {
+    answer_line: AnswerLineScan,
+}
+
+impl FrameParser {
+    /// Parses the frame at the start of `input`. Returns the frame and its total length in bytes; `None` if the frame is
+    /// incomplete. Until a frame is returned, `input` must begin with the input of the last call.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as soon as the received bytes can't be the start of a frame.
+    pub fn parse<'a>(&mut self, input: &'a [u8]) -> Result<Option<(Frame<'a>, usize)>, FrameError> {
+        let Some((length, rest)) = input.split_first_chunk::<LENGTH_BYTES>() else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(*length);
+        if length == 0 || length > MAX_FRAME {
+            return Err(FrameError::LengthOutOfRange(length));
+        }
+        match rest {
+            [b'A', line @ ..] => self.answer_line.advance(line)?,
+            [b'P' | b'L' | b'E', ..] | [] => {}
+            [letter, ..] => return Err(FrameError::UnknownLetter(*letter)),
+        }
+        let Some((&letter, mut body)) = rest
+            .get(..length as usize)
+            .and_then(|frame| frame.split_first())
+        else {
+            return Ok(None);
+        };
+        self.answer_line = AnswerLineScan::default();
+        let frame = match letter {
+            b'A' => Frame::Answer(answer(&mut body).map_err(|_| FrameError::MalformedAnswer)?),
+            b'P' => Frame::Ping,
+            b'L' => Frame::LoadReport(body),
+            _ => Frame::Error(String::from_utf8_lossy(body).into_owned()),
+        };
+        Ok(Some((frame, LENGTH_BYTES + length as usize)))
     }
-    check_prefix(rest)?;
-    let Some((&letter, mut body)) = rest
-        .get(..length as usize)
-        .and_then(|frame| frame.split_first())
-    else {
-        return Ok(None);
-    };
-    let frame = match letter {
-        b'A' => Frame::Answer(answer(&mut body).map_err(|_| FrameError::MalformedAnswer)?),
-        b'P' => Frame::Ping,
-        b'L' => Frame::LoadReport(body),
-        _ => Frame::Error(String::from_utf8_lossy(body).into_owned()),
-    };
-    Ok(Some((frame, LENGTH_BYTES + length as usize)))
 }
 
-/// Checks the received bytes of a frame, so that an invalid frame is rejected without waiting for its end.
-fn check_prefix(frame: &[u8]) -> Result<(), FrameError> {
-    match frame {
-        [b'A', line @ ..]
-            if line.len() > MAX_ANSWER_LINE && !line[..MAX_ANSWER_LINE].contains(&b'\n') =>
-        {
-            Err(FrameError::AnswerLineTooLong)
+/// Searches the line of an incomplete answer for its end, so that an endless line is rejected without waiting for the end
+/// of its frame.
+#[derive(Default)]
+struct AnswerLineScan {
+    /// Number of bytes that were scanned without finding the end.
+    scanned: usize,
+    has_ended: bool,
+}
+
+impl AnswerLineScan {
+    /// Scans the bytes of `line` that were not scanned before.
+    fn advance(&mut self, line: &[u8]) -> Result<(), FrameError> {
+        if self.has_ended {
+            return Ok(());
+        }
+        let window = &line[..line.len().min(MAX_ANSWER_LINE)];
+        self.has_ended = window[self.scanned..].contains(&b'\n');
+        self.scanned = window.len();
+        if !self.has_ended && line.len() > MAX_ANSWER_LINE {
+            return Err(FrameError::AnswerLineTooLong);
         }
-        [b'A' | b'P' | b'L' | b'E', ..] | [] => Ok(()),
-        [letter, ..] => Err(FrameError::UnknownLetter(*letter)),
+        Ok(())
     }
 }
 
--- a/crates/coordinator/src/backends/frames/connection.rs
+++ b/crates/coordinator/src/backends/frames/connection.rs
@@ -3,8 +3,8 @@
 
 use super::answers::AwaitedAnswers;
 use super::codec::{
-    encode_call, encode_cancel, encode_health_check, outcome, parse_frame, parse_load_report,
-    Frame, PartAnswerFrame,
+    encode_call, encode_cancel, encode_health_check, outcome, parse_load_report, Frame,
+    FrameParser, PartAnswerFrame,
 };
 use super::contracts;
 use super::fault::ConnectionFault;
@@ -12,6 +12,7 @@
 use crate::connections::handle::{ConnectionCommand, ConnectionHandle};
 use crate::connections::socket;
 use crate::messages::{AttemptId, ConnectionEvent, OutboundAttempt, PartValue};
+use bytes::{Buf, BytesMut};
 use cairnroad_types::Outcome;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -22,6 +23,9 @@
 /// takes longer has a wrong length, and the part that it answers would wait for its timeout.
 pub(super) const PARTIAL_FRAME_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Room for each read, in bytes. A read can return no more, which bounds the work between two reads.
+const READ_SIZE: usize = 4 * 1024;
+
 /// Runs a connection from the dial to the close.
 pub async fn run(handle: ConnectionHandle) {
     let Some(stream) = handle.dial().await else {
@@ -67,7 +71,8 @@
     outbound: OutboundQueue,
     answers: AwaitedAnswers,
     /// Received bytes that do not form a complete frame yet.
-    buffer: Vec<u8>,
+    buffer: BytesMut,
+    parser: FrameParser,
     /// The time by which the incomplete frame in the buffer must be complete; `None` if the buffer is empty.
     partial_deadline: Option<Instant>,
 }
@@ -78,7 +83,8 @@
             handle,
             outbound: OutboundQueue::default(),
             answers: AwaitedAnswers::default(),
-            buffer: Vec::new(),
+            buffer: BytesMut::new(),
+            parser: FrameParser::default(),
             partial_deadline: None,
         }
     }
@@ -97,6 +103,7 @@
                     .await;
             }
             let partial_deadline = self.partial_deadline.unwrap_or_else(Instant::now);
+            self.buffer.reserve(READ_SIZE);
             tokio::select! {
                 // Received data is processed before anything is written, because it may poison the connection.
                 biased;
@@ -218,12 +225,12 @@
         // The frames borrow the buffer while they are processed.
         let mut buffer = std::mem::take(&mut self.buffer);
         let mut processed = 0;
-        while let Some((frame, length)) = parse_frame(&buffer[processed..])? {
+        while let Some((frame, length)) = self.parser.parse(&buffer[processed..])? {
             processed += length;
             let more_follows = buffer.len() > processed;
             self.on_frame(frame, more_follows).await?;
         }
-        buffer.drain(..processed);
+        buffer.advance(processed);
         self.buffer = buffer;
         if self.answers.is_poisoned() && self.answers.is_empty() {
             return Err(ConnectionFault::DuplicateAnswer);
--- a/crates/coordinator/src/backends/frames/mod.rs
+++ b/crates/coordinator/src/backends/frames/mod.rs
@@ -9,5 +9,7 @@
 mod outbound;
 
 #[cfg(test)]
-pub use codec::{parse_frame, parse_load_report, Frame, PartAnswerFrame};
+pub use codec::{parse_load_report, Frame, FrameParser, PartAnswerFrame};
 pub use connection::run;
+#[cfg(test)]
+pub use fault::FrameError;
--- a/crates/coordinator/src/backends/opensearch/connection.rs
+++ b/crates/coordinator/src/backends/opensearch/connection.rs
@@ -6,6 +6,7 @@
 use crate::connections::handle::{ConnectionCommand, ConnectionHandle};
 use crate::http::{self, Response};
 use crate::messages::{OutboundAttempt, PartValue};
+use bytes::BytesMut;
 use cairnroad_types::Outcome;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -21,7 +22,7 @@
     let Some(mut stream) = handle.dial().await else {
         return handle.close(Vec::new(), Outcome::ConnectFailed).await;
     };
-    let mut buffer = Vec::new();
+    let mut buffer = BytesMut::new();
     let mut unsent = Vec::new();
     let mut unsent_outcome = Outcome::ConnectFailed;
     loop {
@@ -91,6 +92,7 @@
     request: Vec<u8>,
     /// Number of bytes of the request that have been written.
     written_bytes: usize,
+    parser: http::ResponseParser,
 }
 
 impl<'a> Exchange<'a> {
@@ -102,14 +104,17 @@
             part,
             request,
             written_bytes: 0,
+            parser: http::ResponseParser::new(MAX_ANSWER_BODY),
         }
     }
 
     /// Writes the request, reads the answer and reports it.
-    async fn run(&mut self, stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Reuse {
+    async fn run(&mut self, stream: &mut TcpStream, buffer: &mut BytesMut) -> Reuse {
         let (mut reader, mut writer) = stream.split();
         loop {
             let is_written = self.written_bytes == self.request.len();
+            let has_begun = !buffer.is_empty() || self.parser.partial_body().is_some();
+            buffer.reserve(http::READ_SIZE);
             tokio::select! {
                 // Cancels come first: a part that was cancelled while its connection was being dialled must not be
                 // sent.
@@ -125,7 +130,7 @@
                     Ok(bytes) if bytes > 0 => self.written_bytes += bytes,
                     _ => break,
                 },
-                () = tokio::time::sleep(STALL_TIMEOUT), if !buffer.is_empty() => {
+                () = tokio::time::sleep(STALL_TIMEOUT), if has_begun => {
                     self.log_fault(ConnectionFault::StalledAnswer);
                     self.check_incomplete(buffer);
                     return self.on_unusable_answer().await;
@@ -133,14 +138,13 @@
                 read = reader.read_buf(buffer), if is_written => {
                     let Ok(bytes) = read else { break };
                     let at_eof = bytes == 0;
-                    match http::parse_response(buffer, at_eof, MAX_ANSWER_BODY) {
-                        Ok(Some((response, used))) => {
-                            buffer.drain(..used);
+                    match self.parser.parse(buffer, at_eof) {
+                        Ok(Some(response)) => {
                             let reusable = !at_eof && !response.closes_connection;
                             return self.on_response(&response, reusable, !buffer.is_empty()).await;
                         }
                         Ok(None) if at_eof => {
-                            if !buffer.is_empty() {
+                            if has_begun {
                                 self.check_incomplete(buffer);
                             }
                             break;
@@ -224,8 +228,10 @@
         }
     }
 
-    /// Checks an incomplete answer against the API description of the interface to servers.
-    fn check_incomplete(&self, received: &[u8]) {
+    /// Checks an incomplete answer against the API description of the interface to servers. `undecoded` are the received
+    /// bytes that belong to an incomplete head.
+    fn check_incomplete(&self, undecoded: &[u8]) {
+        let received = self.parser.partial_body().unwrap_or(undecoded);
         let response = Response {
             status: 0,
             fields: http::Fields::default(),
--- a/crates/coordinator/src/connections/mod.rs
+++ b/crates/coordinator/src/connections/mod.rs
@@ -5,6 +5,7 @@
 //! The core sends commands to the task over a bounded queue; the task sends
 //! [`ConnectionEvent`](crate::messages::ConnectionEvent)s to the core.
 
+pub mod discard;
 pub mod handle;
 pub mod pool;
 pub mod socket;
--- a/crates/coordinator/src/connections/socket.rs
+++ b/crates/coordinator/src/connections/socket.rs
@@ -1,5 +1,6 @@
 //! Reads data that a socket has already received.
 
+use bytes::{BufMut, BytesMut};
 use std::io::Read;
 use tokio::net::TcpStream;
 
@@ -14,12 +15,12 @@
 ///
 /// Callers use this before they close a socket: closing it with unread data would lose the data and reset the
 /// connection.
-pub fn read_available(stream: &TcpStream, buffer: &mut Vec<u8>) -> bool {
+pub fn read_available(stream: &TcpStream, buffer: &mut BytesMut) -> bool {
     let before = buffer.len();
     let mut chunk = [0; CHUNK_SIZE];
     while buffer.len() - before < MAX_READ_AHEAD {
         match (&*socket2::SockRef::from(stream)).read(&mut chunk) {
-            Ok(bytes) if bytes > 0 => buffer.extend_from_slice(&chunk[..bytes]),
+            Ok(bytes) if bytes > 0 => buffer.put_slice(&chunk[..bytes]),
             _ => break,
         }
     }
--- a/crates/coordinator/src/contract/server_traffic.rs
+++ b/crates/coordinator/src/contract/server_traffic.rs
@@ -7,6 +7,7 @@
 use super::{Contracts, HeaderParser};
 use crate::http;
 use crate::messages::ContractsInForce;
+use bytes::BytesMut;
 use cairnroad_contract::conformance::ObservedResponse;
 use cairnroad_contract::drift::Interface;
 use cairnroad_contract::enforcement::{is_response_usable, InterfaceContract, Mode};
@@ -95,7 +96,8 @@
         response: &http::Response,
         complete: bool,
     ) {
-        let Ok(Some((parsed, _))) = http::parse_request(request) else {
+        let parsed = http::RequestParser::default().parse(&mut BytesMut::from(request));
+        let Ok(Some(parsed)) = parsed else {
             return;
         };
         let exchange = SampledExchange {
--- a/crates/coordinator/src/discovery/agent_connection.rs
+++ b/crates/coordinator/src/discovery/agent_connection.rs
@@ -1,6 +1,7 @@
 //! One HTTP/1.1 connection to the discovery agent.
 
 use crate::http;
+use bytes::BytesMut;
 use cairnroad_discovery_watch::{PollRequest, WatchError, CONNECT_TIMEOUT};
 use cairnroad_types::Seconds;
 use std::net::SocketAddr;
@@ -18,7 +19,7 @@
     agent: SocketAddr,
     stream: TcpStream,
     /// Bytes that were read but not parsed yet.
-    buffer: Vec<u8>,
+    buffer: BytesMut,
 }
 
 impl AgentConnection {
@@ -34,7 +35,7 @@
         Ok(AgentConnection {
             agent,
             stream,
-            buffer: Vec::new(),
+            buffer: BytesMut::new(),
         })
     }
 
@@ -59,12 +60,14 @@
     async fn exchange(&mut self, target: &str) -> Result<http::Response, WatchError> {
         let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.agent);
         self.stream.write_all(request.as_bytes()).await?;
+        let mut parser = http::ResponseParser::new(MAX_LIST_BYTES);
         loop {
+            self.buffer.reserve(http::READ_SIZE);
             let is_closed = self.stream.read_buf(&mut self.buffer).await? == 0;
-            let parsed = http::parse_response(&self.buffer, is_closed, MAX_LIST_BYTES)
+            let parsed = parser
+                .parse(&mut self.buffer, is_closed)
                 .map_err(|error| WatchError::MalformedResponse(error.message()))?;
-            if let Some((response, length)) = parsed {
-                self.buffer.drain(..length);
+            if let Some(response) = parsed {
                 return Ok(response);
             }
             if is_closed {
--- a/crates/coordinator/src/fronts/client_connections.rs
+++ b/crates/coordinator/src/fronts/client_connections.rs
@@ -3,6 +3,7 @@
 //! Counts open connections, requests in flight and lingering connections. When a slot is needed, the connection that
 //! has been idle for longest is evicted, so that idle clients don't keep active clients out.
 
+use crate::connections::discard::DiscardLimiter;
 use cairnroad_admin::shutdown::ShutdownObservation;
 use cairnroad_types::{Seconds, Time};
 use std::cell::{Cell, RefCell};
@@ -72,6 +73,8 @@
     /// Time by which every request must be answered; `None` unless a graceful shutdown has begun.
     answer_deadline: Cell<Option<Time>>,
     next_id: Cell<u64>,
+    /// Limits the rate at which the connections discard what clients still send.
+    pub discards: DiscardLimiter,
     /// Connections that may be evicted, by idle time.
     idle: RefCell<BTreeMap<IdleKey, IdleConnection>>,
 }
--- a/crates/coordinator/src/fronts/exchange.rs
+++ b/crates/coordinator/src/fronts/exchange.rs
@@ -3,19 +3,13 @@
 use super::front::Front;
 use crate::messages::{Answer, ContractsInForce, Request};
 use crate::pipeline::request_queue;
-use std::time::Duration;
+use bytes::BytesMut;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
 /// Maximum number of bytes buffered from a client that pipelines while its answer is pending. Clients usually send one
 /// request at a time.
 const MAX_PIPELINED_BYTES: usize = 16 * 1024;
-/// Number of bytes discarded between two delays, so that a flooding client can't occupy a CPU.
-const DISCARD_BURST: usize = 256 * 1024;
-/// Delay after such a burst.
-const DISCARD_DELAY: Duration = Duration::from_millis(5);
-/// Maximum number of bytes discarded by one read.
-const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 
 /// The error of a client that closed or reset its connection before it received its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -29,7 +23,7 @@
     /// The client's connection, which is read for pipelined bytes and a disconnect.
     pub stream: &'a mut TcpStream,
     /// The buffer for pipelined bytes.
-    pub buffer: &'a mut Vec<u8>,
+    pub buffer: &'a mut BytesMut,
     /// Set once the client has pipelined more than the buffer holds; the excess bytes are discarded.
     pub overrun: &'a mut bool,
     /// The interface descriptions that were in force when the request arrived.
@@ -62,6 +56,7 @@
             answers
         };
         tokio::pin!(answers);
+        let discards = &self.front.connections.discards;
         loop {
             *self.overrun |= self.buffer.len() >= MAX_PIPELINED_BYTES;
             if *self.overrun {
@@ -69,7 +64,7 @@
                 tokio::select! {
                     biased;
                     answers = &mut answers => return Ok(answers),
-                    () = discard(self.stream) => return Err(ClientDisconnected),
+                    () = discards.discard(self.stream) => return Err(ClientDisconnected),
                 }
             }
             tokio::select! {
@@ -83,18 +78,3 @@
         }
     }
 }
-
-/// Reads and discards incoming bytes at a limited rate. Returns once the client has closed or reset its connection.
-pub async fn discard(stream: &mut TcpStream) {
-    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
-    loop {
-        let mut remaining = DISCARD_BURST;
-        while remaining > 0 {
-            match stream.read(&mut buffer).await {
-                Ok(bytes) if bytes > 0 => remaining = remaining.saturating_sub(bytes),
-                _ => return,
-            }
-        }
-        tokio::time::sleep(DISCARD_DELAY).await;
-    }
-}
--- a/crates/coordinator/src/fronts/session.rs
+++ b/crates/coordinator/src/fronts/session.rs
@@ -11,6 +11,7 @@
 use crate::contract::SampledRequest;
 use crate::http;
 use crate::messages::{ContractsInForce, ServingPhase};
+use bytes::BytesMut;
 use cairnroad_contract::enforcement::Rejection;
 use cairnroad_types::Time;
 use lingering_close::{IDLE_LINGER_TIMEOUT, LINGER_TIMEOUT};
@@ -34,7 +35,8 @@
     let _ = stream.set_nodelay(true);
     let mut session = ClientSession {
         front,
-        buffer: Vec::new(),
+        buffer: BytesMut::new(),
+        parser: http::RequestParser::default(),
         overrun: false,
         first_request_deadline: Some(Instant::now() + REQUEST_READ_TIMEOUT),
         pipelining_since: None,
@@ -48,7 +50,9 @@
 struct ClientSession {
     front: Rc<Front>,
     /// Bytes that were received and not yet parsed.
-    buffer: Vec<u8>,
+    buffer: BytesMut,
+    /// The part of the next request that was parsed.
+    parser: http::RequestParser,
     /// Whether the client pipelined more than the buffer holds; the excess bytes were discarded.
     overrun: bool,
     /// Time by which the first request must be complete; `None` once the wait for it has begun.
--- a/crates/coordinator/src/fronts/session/lingering_close.rs
+++ b/crates/coordinator/src/fronts/session/lingering_close.rs
@@ -1,6 +1,5 @@
 //! Closes a connection without a reset.
 
-use super::super::exchange::discard;
 use super::ClientSession;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -18,8 +17,9 @@
     pub async fn linger(&mut self, timeout: Duration) {
         let _ = self.stream.shutdown().await;
         self.connection.begin_linger(self.front.clock.now());
+        let discards = &self.front.connections.discards;
         tokio::select! {
-            () = discard(&mut self.stream) => {}
+            () = discards.discard(&mut self.stream) => {}
             () = self.connection.wait_for_eviction() => {}
             () = tokio::time::sleep(timeout) => {}
         }
--- a/crates/coordinator/src/fronts/session/next_request.rs
+++ b/crates/coordinator/src/fronts/session/next_request.rs
@@ -4,6 +4,7 @@
 use crate::connections::socket;
 use crate::http;
 use crate::messages::ServingPhase;
+use bytes::BytesMut;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::watch;
@@ -22,8 +23,6 @@
 /// checks health ten times a second and sends no new clients 0.2 s after a failure; connected clients may send further
 /// requests, whose responses announce the close.
 const DRAINED_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Capacity to which the buffer of an idle connection is shrunk, in bytes.
-const IDLE_BUFFER_CAPACITY: usize = 4 * 1024;
 
 /// The result of waiting for a connection's next request.
 pub enum NextRequest {
@@ -52,7 +51,7 @@
             if self.overrun {
                 return Err(http::MessageError::ExcessPipelining);
             }
-            if !continue_sent && http::expects_continue(&self.buffer) {
+            if !continue_sent && self.parser.expects_continue() {
                 continue_sent = true;
                 if self.send_continue().await.is_err() {
                     return Ok(NextRequest::ClientDisconnected);
@@ -64,6 +63,7 @@
                 true => idle_deadline,
                 false => *first_byte_at.get_or_insert_with(Instant::now) + REQUEST_READ_TIMEOUT,
             });
+            self.buffer.reserve(http::READ_SIZE);
             // `None` ends the wait of an idle connection, an error the wait for the rest of a request.
             let error = tokio::select! {
                 biased;
@@ -78,24 +78,24 @@
             };
             // A request that has already arrived is still served; later bytes cross the close.
             let received_more = socket::read_available(&self.stream, &mut self.buffer);
+            if let Some(request) = self.parse_request()? {
+                return Ok(NextRequest::Received(request));
+            }
             match error {
-                Some(error) if !received_more || http::parse_request(&self.buffer)?.is_none() => {
-                    return Err(error)
-                }
+                Some(error) => return Err(error),
                 None if !received_more => return Ok(NextRequest::IdleClose),
-                _ => {}
+                None => {}
             }
         }
     }
 
     /// Removes a complete request from the front of the buffer; `None` if there is none.
     fn parse_request(&mut self) -> Result<Option<http::Request>, http::MessageError> {
-        let Some((request, length)) = http::parse_request(&self.buffer)? else {
-            return Ok(None);
-        };
-        self.connection.request_received(self.front.clock.now());
-        self.buffer.drain(..length);
-        Ok(Some(request))
+        let request = self.parser.parse(&mut self.buffer)?;
+        if request.is_some() {
+            self.connection.request_received(self.front.clock.now());
+        }
+        Ok(request)
     }
 
     async fn send_continue(&mut self) -> std::io::Result<()> {
@@ -104,11 +104,13 @@
             .await
     }
 
-    /// Marks the connection as idle if the buffer is empty, or else as busy. Returns whether it is idle.
+    /// Marks the connection as idle if nothing of a request was received, or else as busy. Returns whether it is idle.
     fn update_idle_state(&mut self) -> bool {
-        let idle = self.buffer.is_empty();
+        let idle = self.buffer.is_empty() && !self.parser.has_begun();
         if idle {
-            self.buffer.shrink_to(IDLE_BUFFER_CAPACITY);
+            if self.buffer.capacity() > http::READ_SIZE {
+                self.buffer = BytesMut::new();
+            }
             self.connection.mark_idle(self.front.clock.now());
         } else {
             self.connection.mark_busy();
--- a/crates/coordinator/src/http/body.rs
+++ b/crates/coordinator/src/http/body.rs
@@ -1,13 +1,19 @@
 //! Message bodies: their framing, and their bytes once they are completely received.
 
 use super::error::MessageError;
-use super::head::{head_length, is_line_break, line_end, Fields, RuleResult};
+use super::head::{is_line_break, line_end, Fields, HeadScanner, RuleResult};
+use super::MAX_HEAD;
+use bytes::{Buf, BytesMut};
 use winnow::ascii::hex_uint;
 use winnow::token::take_till;
 use winnow::Parser;
 
-/// Maximum number of buffered bytes in which the end of a chunk's size line is still awaited.
+/// Maximum length of a chunk's size line with its extensions and its line break, in bytes.
 const MAX_CHUNK_LINE: usize = 256;
+/// Maximum size of a chunked body on the wire without its trailers, as a multiple of the limit of its content: chunks that
+/// are very small, or have long extensions, consist almost entirely of framing.
+const MAX_WIRE_LENGTH_FACTOR: usize = 4;
+const MALFORMED_CHUNK: MessageError = MessageError::Malformed("a chunk is malformed");
 
 /// The way in which a body is delimited.
 pub(super) enum Framing {
@@ -19,32 +25,6 @@
     Unspecified,
 }
 
-/// A complete body.
-pub(super) struct Body {
-    /// The content without framing.
-    pub(super) bytes: Vec<u8>,
-    /// Length on the wire in bytes, including the framing.
-    pub(super) wire_length: usize,
-}
-
-impl Body {
-    /// Returns an empty body.
-    pub(super) fn empty() -> Self {
-        Body {
-            bytes: Vec::new(),
-            wire_length: 0,
-        }
-    }
-
-    /// Returns a body whose bytes on the wire are its content.
-    pub(super) fn verbatim(bytes: &[u8]) -> Self {
-        Body {
-            bytes: bytes.to_vec(),
-            wire_length: bytes.len(),
-        }
-    }
-}
-
 /// Determines from the header fields how the body is delimited. A stated length may be at most `max_body` bytes.
 pub(super) fn framing(fields: &Fields, max_body: usize) -> Result<Framing, MessageError> {
     if fields.get("transfer-encoding").is_some() {
@@ -78,43 +58,194 @@
     Ok(Framing::Chunked)
 }
 
-/// Returns the body of `length` bytes at the front of `input`; `None` while it is incomplete.
-pub(super) fn sized_body(input: &[u8], length: usize) -> Option<Body> {
-    input.get(..length).map(Body::verbatim)
+/// Decodes a body from input that grows. Bytes are removed from the input as they are decoded, so that neither their
+/// framing nor a body that is not accepted fills the reader's buffer.
+#[derive(Debug)]
+pub(super) struct BodyDecoder {
+    framing: FramingState,
+    max_body: usize,
+    /// The content that has been decoded.
+    bytes: Vec<u8>,
 }
 
-/// Decodes the chunked body of at most `max_body` bytes at the front of `input`; `None` while it is incomplete.
-pub(super) fn chunked_body(input: &[u8], max_body: usize) -> Result<Option<Body>, MessageError> {
-    let malformed = MessageError::Malformed("a chunk is malformed");
-    let mut rest = input;
-    let mut bytes = Vec::new();
-    loop {
-        if !rest.contains(&b'\n') {
-            return if rest.len() > MAX_CHUNK_LINE {
-                Err(malformed)
-            } else {
-                Ok(None)
-            };
+/// The position in a body.
+#[derive(Debug)]
+enum FramingState {
+    /// This many bytes of content are missing.
+    Length(usize),
+    Chunked(ChunkDecoder),
+    /// The body extends to the end of the connection.
+    UntilEnd,
+}
+
+impl BodyDecoder {
+    /// Creates a decoder of a body with at most `max_body` bytes of content.
+    pub(super) fn new(framing: Framing, max_body: usize) -> Self {
+        let framing = match framing {
+            Framing::Length(length) => FramingState::Length(length),
+            Framing::Chunked => FramingState::Chunked(ChunkDecoder::new(max_body)),
+            Framing::Unspecified => FramingState::UntilEnd,
+        };
+        BodyDecoder {
+            framing,
+            max_body,
+            bytes: Vec::new(),
         }
-        let size = chunk_size(&mut rest).map_err(|_| malformed)? as usize;
-        if size == 0 {
-            break;
+    }
+
+    /// Removes the received bytes of the body from the front of `input`. Returns whether the body is complete. `at_end`
+    /// states whether the end of the connection has been reached.
+    pub(super) fn decode(
+        &mut self,
+        input: &mut BytesMut,
+        at_end: bool,
+    ) -> Result<bool, MessageError> {
+        match &mut self.framing {
+            FramingState::Length(missing) => {
+                let received = input.len().min(*missing);
+                self.bytes.extend_from_slice(&input[..received]);
+                input.advance(received);
+                *missing -= received;
+                Ok(*missing == 0)
+            }
+            FramingState::Chunked(decoder) => decoder.decode(input, &mut self.bytes),
+            FramingState::UntilEnd if input.len() > self.max_body - self.bytes.len() => {
+                Err(MessageError::BodyTooLarge)
+            }
+            FramingState::UntilEnd => {
+                self.bytes.extend_from_slice(input);
+                input.clear();
+                Ok(at_end)
+            }
         }
-        if size > max_body - bytes.len() {
+    }
+
+    /// Returns the content that has been decoded.
+    pub(super) fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// Returns the content of the complete body.
+    pub(super) fn into_bytes(self) -> Vec<u8> {
+        self.bytes
+    }
+}
+
+/// Decodes the chunked coding of a body.
+#[derive(Debug)]
+struct ChunkDecoder {
+    position: ChunkPosition,
+    /// Maximum size of the content, in bytes.
+    max_body: usize,
+    /// Number of bytes that the body, including its framing, may still have on the wire.
+    remaining_wire_length: usize,
+}
+
+#[derive(Debug)]
+enum ChunkPosition {
+    /// In a size line, of which this many bytes contain no line break.
+    SizeLine(usize),
+    /// In the content of a chunk, of which this many bytes are missing.
+    Content(usize),
+    /// Before the line break after a chunk's content.
+    ContentEnd,
+    /// In the trailer section, which is discarded.
+    Trailers(HeadScanner),
+    /// Behind the body.
+    End,
+}
+
+/// What a step of the decoder consumed.
+enum ChunkStep {
+    /// This many bytes, after which the decoder is at another position.
+    Consumed(usize),
+    /// Nothing: more input is needed.
+    Incomplete,
+}
+
+impl ChunkDecoder {
+    fn new(max_body: usize) -> Self {
+        ChunkDecoder {
+            position: ChunkPosition::SizeLine(0),
+            max_body,
+            remaining_wire_length: MAX_HEAD + MAX_WIRE_LENGTH_FACTOR * max_body,
+        }
+    }
+
+    /// Removes the received chunks from the front of `input` and appends their content to `content`. Returns whether the
+    /// body is complete.
+    fn decode(
+        &mut self,
+        input: &mut BytesMut,
+        content: &mut Vec<u8>,
+    ) -> Result<bool, MessageError> {
+        let mut used = 0;
+        while !matches!(self.position, ChunkPosition::End) {
+            match self.step(&input[used..], content)? {
+                ChunkStep::Consumed(length) => used += length,
+                ChunkStep::Incomplete => break,
+            }
+        }
+        let is_complete = matches!(self.position, ChunkPosition::End);
+        let counted = if is_complete { used } else { input.len() };
+        if counted > self.remaining_wire_length {
             return Err(MessageError::BodyTooLarge);
         }
-        if rest.len() < size + 2 {
-            return Ok(None);
+        self.remaining_wire_length -= used;
+        input.advance(used);
+        Ok(is_complete)
+    }
+
+    /// Decodes the front of `input` up to the next position.
+    fn step(&mut self, input: &[u8], content: &mut Vec<u8>) -> Result<ChunkStep, MessageError> {
+        match &mut self.position {
+            ChunkPosition::SizeLine(scanned) => {
+                let line_feed = input[*scanned..].iter().position(|&byte| byte == b'\n');
+                let line_length = line_feed.map_or(input.len(), |at| *scanned + at + 1);
+                if line_length > MAX_CHUNK_LINE {
+                    return Err(MALFORMED_CHUNK);
+                }
+                if line_feed.is_none() {
+                    *scanned = input.len();
+                    return Ok(ChunkStep::Incomplete);
+                }
+                let size = chunk_size(&mut &input[..line_length]).map_err(|_| MALFORMED_CHUNK)?;
+                self.position = match size as usize {
+                    0 => ChunkPosition::Trailers(HeadScanner::default()),
+                    size if size > self.max_body - content.len() => {
+                        return Err(MessageError::BodyTooLarge)
+                    }
+                    size => ChunkPosition::Content(size),
+                };
+                Ok(ChunkStep::Consumed(line_length))
+            }
+            ChunkPosition::Content(_) if input.is_empty() => Ok(ChunkStep::Incomplete),
+            ChunkPosition::Content(missing) => {
+                let received = input.len().min(*missing);
+                content.extend_from_slice(&input[..received]);
+                *missing -= received;
+                if *missing == 0 {
+                    self.position = ChunkPosition::ContentEnd;
+                }
+                Ok(ChunkStep::Consumed(received))
+            }
+            ChunkPosition::ContentEnd => match line_break_length(input)? {
+                Some(length) => {
+                    self.position = ChunkPosition::SizeLine(0);
+                    Ok(ChunkStep::Consumed(length))
+                }
+                None => Ok(ChunkStep::Incomplete),
+            },
+            ChunkPosition::Trailers(scanner) => match trailers_length(scanner, input)? {
+                Some(length) => {
+                    self.position = ChunkPosition::End;
+                    Ok(ChunkStep::Consumed(length))
+                }
+                None => Ok(ChunkStep::Incomplete),
+            },
+            ChunkPosition::End => Ok(ChunkStep::Incomplete),
         }
-        bytes.extend_from_slice(&rest[..size]);
-        rest = &rest[size..];
-        line_end(&mut rest).map_err(|_| malformed)?;
     }
-    let chunks_length = input.len() - rest.len();
-    Ok(trailers_length(rest)?.map(|length| Body {
-        bytes,
-        wire_length: chunks_length + length,
-    }))
 }
 
 /// Parses a chunk's size line and discards its extensions.
@@ -125,12 +256,21 @@
     Ok(size)
 }
 
-/// Returns the length of the trailer section with its empty line; `None` while it is incomplete. Trailers are
-/// discarded.
-fn trailers_length(input: &[u8]) -> Result<Option<usize>, MessageError> {
+/// Returns the length of the line break at the front of `input`; `None` while it is incomplete.
+fn line_break_length(input: &[u8]) -> Result<Option<usize>, MessageError> {
+    match input {
+        [b'\n', ..] => Ok(Some(1)),
+        [b'\r', b'\n', ..] => Ok(Some(2)),
+        [] | [b'\r'] => Ok(None),
+        _ => Err(MALFORMED_CHUNK),
+    }
+}
+
+/// Returns the length of the trailer section with its empty line; `None` while it is incomplete.
+fn trailers_length(scanner: &mut HeadScanner, input: &[u8]) -> Result<Option<usize>, MessageError> {
     match input {
         [b'\r', b'\n', ..] => Ok(Some(2)),
         [b'\n', ..] => Ok(Some(1)),
-        _ => head_length(input),
+        _ => scanner.head_length(input, MAX_HEAD),
     }
 }
--- a/crates/coordinator/src/http/head.rs
+++ b/crates/coordinator/src/http/head.rs
@@ -1,7 +1,7 @@
 //! Message heads: start line, header fields and the empty line that ends them.
 
 use super::error::MessageError;
-use super::{MAX_FIELDS, MAX_HEAD};
+use super::MAX_FIELDS;
 use winnow::ascii::space0;
 use winnow::combinator::{opt, preceded, terminated};
 use winnow::error::{ContextError, ErrMode};
@@ -11,6 +11,8 @@
 /// The result of a grammar rule. A rule advances its input past the matched bytes.
 pub(super) type RuleResult<T> = Result<T, ErrMode<ContextError>>;
 
+/// Number of bytes at the end of the scanned input that may begin the end of a head: a line feed and a carriage return.
+const PARTIAL_END_LENGTH: usize = 2;
 /// Maximum length of a method or field name, in bytes.
 const MAX_TOKEN: usize = 64;
 
@@ -55,6 +57,7 @@
 }
 
 /// The start line of a request.
+#[derive(Debug)]
 pub(super) struct RequestLine {
     pub(super) method: String,
     pub(super) target: String,
@@ -62,6 +65,7 @@
 }
 
 /// The start line of a response.
+#[derive(Debug)]
 pub(super) struct StatusLine {
     pub(super) status: u16,
     pub(super) is_http_1_0: bool,
@@ -116,21 +120,36 @@
     byte == b'\r' || byte == b'\n'
 }
 
-/// Returns the length of the head including the empty line that ends it; `None` until that line has been received.
-pub(super) fn head_length(input: &[u8]) -> Result<Option<usize>, MessageError> {
-    let window = &input[..input.len().min(MAX_HEAD)];
-    let line_feeds = window.iter().enumerate().filter(|(_, &byte)| byte == b'\n');
-    for (at, _) in line_feeds {
-        match &window[at + 1..] {
-            [b'\n', ..] => return Ok(Some(at + 2)),
-            [b'\r', b'\n', ..] => return Ok(Some(at + 3)),
-            _ => {}
+/// Searches for the end of a head in input that grows, without scanning its bytes again.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HeadScanner {
+    /// Number of bytes that were scanned without finding the end.
+    scanned: usize,
+}
+
+impl HeadScanner {
+    /// Returns the length of the head including the empty line that ends it; `None` until that line has been received.
+    /// `input` must begin with the input of the last call. The head may have at most `max_length` bytes.
+    pub(super) fn head_length(
+        &mut self,
+        input: &[u8],
+        max_length: usize,
+    ) -> Result<Option<usize>, MessageError> {
+        let window = &input[..input.len().min(max_length)];
+        let start = self.scanned.saturating_sub(PARTIAL_END_LENGTH);
+        for at in (start..window.len()).filter(|&at| window[at] == b'\n') {
+            match &window[at + 1..] {
+                [b'\n', ..] => return Ok(Some(at + 2)),
+                [b'\r', b'\n', ..] => return Ok(Some(at + 3)),
+                _ => {}
+            }
         }
+        self.scanned = window.len();
+        if input.len() >= max_length {
+            return Err(MessageError::HeadTooLarge);
+        }
+        Ok(None)
     }
-    if input.len() >= MAX_HEAD {
-        return Err(MessageError::HeadTooLarge);
-    }
-    Ok(None)
 }
 
 /// Returns the head without the empty line that ends it.
--- a/crates/coordinator/src/http/mod.rs
+++ b/crates/coordinator/src/http/mod.rs
@@ -1,7 +1,9 @@
 //! Parser and writer for HTTP/1.1 messages, without I/O.
 //!
-//! A message is parsed from a buffer as soon as it is complete. Its body is delimited by a length or by chunked coding,
-//! and may not exceed the caller's limit. The grammar is that of RFC 9112; a bare LF is accepted as a line break too.
+//! A parser removes a message from a buffer as it arrives. It keeps its state between two reads, so the work grows with
+//! the number of bytes and not with the number of reads, and it bounds all that it keeps. A body is delimited by a length
+//! or by chunked coding, and may not exceed the caller's limit. The grammar is that of RFC 9112; a bare LF is accepted as
+//! a line break too.
 
 mod body;
 mod error;
@@ -11,8 +13,8 @@
 
 pub use error::MessageError;
 pub use head::Fields;
-pub use request::{expects_continue, parse_request, Request};
-pub use response::{parse_response, write_response, Response};
+pub use request::{Request, RequestParser};
+pub use response::{write_response, Response, ResponseParser};
 
 /// Maximum size of a message head, in bytes.
 pub const MAX_HEAD: usize = 16 * 1024;
@@ -20,8 +22,9 @@
 pub const MAX_FIELDS: usize = 100;
 /// Maximum size of a request body in bytes, as specified by the platform.
 pub const MAX_BODY: usize = 64 * 1024;
-/// Maximum size of a request on the wire in bytes, including the framing of chunks.
-const MAX_MESSAGE: usize = MAX_HEAD + 4 * MAX_BODY;
+/// Room that a reader provides in its buffer before each read of a message, in bytes. A read can return no more, which
+/// bounds the work between two reads.
+pub const READ_SIZE: usize = 4 * 1024;
 
-/// A complete message and its length in bytes at the front of the buffer; `None` while the message is incomplete.
-pub type Parsed<T> = Result<Option<(T, usize)>, MessageError>;
+/// A complete message; `None` while the message is incomplete.
+pub type Parsed<T> = Result<Option<T>, MessageError>;
--- a/crates/coordinator/src/http/request.rs
+++ b/crates/coordinator/src/http/request.rs
@@ -1,11 +1,12 @@
 //! Parsing of requests from clients and operators.
 
-use super::body::{chunked_body, framing, sized_body, Body, Framing};
+use super::body::{framing, BodyDecoder, Framing};
 use super::error::MessageError;
 use super::head::{
-    fields, head_length, leading_empty_lines, request_line, strip_empty_line, Fields,
+    fields, leading_empty_lines, request_line, strip_empty_line, Fields, HeadScanner, RequestLine,
 };
-use super::{Parsed, MAX_BODY, MAX_MESSAGE};
+use super::{Parsed, MAX_BODY, MAX_HEAD};
+use bytes::{Buf, BytesMut};
 
 /// A complete request.
 #[derive(Clone, Debug)]
@@ -22,48 +23,129 @@
     pub close_requested: bool,
 }
 
-/// Parses the request at the front of `input`.
-pub fn parse_request(input: &[u8]) -> Parsed<Request> {
-    let start = leading_empty_lines(input);
-    let input = &input[start..];
-    let Some(head_length) = head_length(input)? else {
-        return Ok(None);
-    };
-    let (mut head, body_input) = input.split_at(head_length);
-    let line = request_line(&mut head)
-        .map_err(|_| MessageError::Malformed("the request line is malformed"))?;
-    let fields = fields(&mut strip_empty_line(head))?;
-    let body = match framing(&fields, MAX_BODY)? {
-        Framing::Unspecified => Some(Body::empty()),
-        Framing::Length(length) => sized_body(body_input, length),
-        Framing::Chunked => match chunked_body(body_input, MAX_BODY)? {
-            // The framing of very small chunks, or endless chunk extensions, must not fill the buffer either.
-            None if input.len() > MAX_MESSAGE => return Err(MessageError::BodyTooLarge),
-            body => body,
-        },
-    };
-    let Some(body) = body else {
-        return Ok(None);
-    };
-    let close_requested = fields.indicates_close(line.is_http_1_0);
-    let request = Request {
-        method: line.method,
-        target: line.target,
-        fields,
-        body: body.bytes,
-        close_requested,
-    };
-    Ok(Some((request, start + head_length + body.wire_length)))
+/// Parses the requests of one connection.
+#[derive(Debug, Default)]
+pub struct RequestParser {
+    state: RequestState,
 }
 
-/// Returns whether `input` starts with a complete head whose sender waits for `100 Continue` before it sends the body.
-pub fn expects_continue(input: &[u8]) -> bool {
-    let input = &input[leading_empty_lines(input)..];
-    let Ok(Some(head_length)) = head_length(input) else {
-        return false;
-    };
-    let mut head = &input[..head_length];
-    request_line(&mut head).is_ok()
-        && fields(&mut strip_empty_line(head))
-            .is_ok_and(|fields| fields.contains_token("expect", "100-continue"))
+#[derive(Debug)]
+enum RequestState {
+    Head(HeadReader),
+    Body(PartialRequest),
+}
+
+impl Default for RequestState {
+    fn default() -> Self {
+        RequestState::Head(HeadReader::default())
+    }
+}
+
+/// A request whose head is complete.
+#[derive(Debug)]
+struct PartialRequest {
+    line: RequestLine,
+    fields: Fields,
+    body: BodyDecoder,
+    /// Whether the client waits for `100 Continue` before it sends the body.
+    expects_continue: bool,
+}
+
+/// Waits for the head of a request.
+#[derive(Debug, Default)]
+struct HeadReader {
+    /// Number of bytes of the empty lines before the request, which have been removed from the buffer.
+    empty_line_bytes: usize,
+    scanner: HeadScanner,
+}
+
+impl RequestParser {
+    /// Removes the received bytes of a request from the front of `buffer`. Returns the request once it is complete. The
+    /// caller may only append to `buffer` between two calls.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the request is malformed or exceeds a limit. No request can be parsed after that.
+    pub fn parse(&mut self, buffer: &mut BytesMut) -> Parsed<Request> {
+        if let RequestState::Head(reader) = &mut self.state {
+            let Some(partial) = reader.read(buffer)? else {
+                return Ok(None);
+            };
+            self.state = RequestState::Body(partial);
+        }
+        if let RequestState::Body(partial) = &mut self.state {
+            if !partial.body.decode(buffer, false)? {
+                return Ok(None);
+            }
+        }
+        match std::mem::take(&mut self.state) {
+            RequestState::Body(partial) => Ok(Some(partial.into_request())),
+            RequestState::Head(_) => Ok(None),
+        }
+    }
+
+    /// Returns whether bytes of an incomplete request have been removed from the buffer.
+    pub fn has_begun(&self) -> bool {
+        match &self.state {
+            RequestState::Head(reader) => reader.empty_line_bytes > 0,
+            RequestState::Body(_) => true,
+        }
+    }
+
+    /// Returns whether the client of the incomplete request waits for `100 Continue` before it sends the body.
+    pub fn expects_continue(&self) -> bool {
+        matches!(&self.state, RequestState::Body(partial) if partial.expects_continue)
+    }
+}
+
+impl HeadReader {
+    /// Returns the request without its body once the head is complete. Empty lines before the head count towards the
+    /// limit of its size, so that a client can't send them without end.
+    fn read(&mut self, buffer: &mut BytesMut) -> Parsed<PartialRequest> {
+        self.remove_empty_lines(buffer);
+        let max_length = MAX_HEAD.saturating_sub(self.empty_line_bytes);
+        let Some(head_length) = self.scanner.head_length(buffer, max_length)? else {
+            return Ok(None);
+        };
+        let partial = PartialRequest::parse(&buffer[..head_length])?;
+        buffer.advance(head_length);
+        Ok(Some(partial))
+    }
+
+    fn remove_empty_lines(&mut self, buffer: &mut BytesMut) {
+        let length = leading_empty_lines(buffer);
+        self.empty_line_bytes = self.empty_line_bytes.saturating_add(length);
+        buffer.advance(length);
+    }
+}
+
+impl PartialRequest {
+    fn parse(mut head: &[u8]) -> Result<Self, MessageError> {
+        let line = request_line(&mut head)
+            .map_err(|_| MessageError::Malformed("the request line is malformed"))?;
+        let fields = fields(&mut strip_empty_line(head))?;
+        // The body of a request without framing is empty.
+        let framing = match framing(&fields, MAX_BODY)? {
+            Framing::Unspecified => Framing::Length(0),
+            framing => framing,
+        };
+        let expects_continue = fields.contains_token("expect", "100-continue");
+        Ok(PartialRequest {
+            line,
+            fields,
+            body: BodyDecoder::new(framing, MAX_BODY),
+            expects_continue,
+        })
+    }
+
+    fn into_request(self) -> Request {
+        let close_requested = self.fields.indicates_close(self.line.is_http_1_0);
+        Request {
+            method: self.line.method,
+            target: self.line.target,
+            fields: self.fields,
+            body: self.body.into_bytes(),
+            close_requested,
+        }
+    }
 }
--- a/crates/coordinator/src/http/response.rs
+++ b/crates/coordinator/src/http/response.rs
@@ -1,9 +1,10 @@
 //! Parsing of responses from servers and the discovery agent, and writing of responses to clients.
 
-use super::body::{chunked_body, framing, sized_body, Body, Framing};
+use super::body::{framing, BodyDecoder, Framing};
 use super::error::MessageError;
-use super::head::{fields, head_length, status_line, strip_empty_line, Fields};
-use super::Parsed;
+use super::head::{fields, status_line, strip_empty_line, Fields, HeadScanner};
+use super::{Parsed, MAX_HEAD};
+use bytes::{Buf, BytesMut};
 
 /// A complete response.
 #[derive(Clone, Debug)]
@@ -18,41 +19,107 @@
     pub closes_connection: bool,
 }
 
-/// Parses the response at the front of `input`, with a body of at most `max_body` bytes.
-///
-/// The body of a response without framing extends to the end of the connection; `at_end` states whether that has been
-/// reached.
-pub fn parse_response(input: &[u8], at_end: bool, max_body: usize) -> Parsed<Response> {
-    let Some(head_length) = head_length(input)? else {
-        return Ok(None);
-    };
-    let (mut head, body_input) = input.split_at(head_length);
-    let line = status_line(&mut head)
-        .map_err(|_| MessageError::Malformed("the status line is malformed"))?;
-    let fields = fields(&mut strip_empty_line(head))?;
-    let mut closes_connection = fields.indicates_close(line.is_http_1_0);
-    let body = match framing(&fields, max_body)? {
-        Framing::Unspecified if has_no_body(line.status) => Some(Body::empty()),
-        Framing::Unspecified if body_input.len() > max_body => {
-            return Err(MessageError::BodyTooLarge)
+/// Parses the responses of one connection.
+#[derive(Debug)]
+pub struct ResponseParser {
+    max_body: usize,
+    state: ResponseState,
+}
+
+#[derive(Debug)]
+enum ResponseState {
+    Head(HeadScanner),
+    Body(PartialResponse),
+}
+
+impl Default for ResponseState {
+    fn default() -> Self {
+        ResponseState::Head(HeadScanner::default())
+    }
+}
+
+/// A response whose head is complete.
+#[derive(Debug)]
+struct PartialResponse {
+    status: u16,
+    fields: Fields,
+    closes_connection: bool,
+    body: BodyDecoder,
+}
+
+impl ResponseParser {
+    /// Creates a parser of responses whose bodies have at most `max_body` bytes.
+    pub fn new(max_body: usize) -> Self {
+        ResponseParser {
+            max_body,
+            state: ResponseState::default(),
         }
-        Framing::Unspecified if !at_end => None,
-        Framing::Unspecified => {
-            closes_connection = true;
-            Some(Body::verbatim(body_input))
+    }
+
+    /// Removes the received bytes of a response from the front of `buffer`. Returns the response once it is complete. The
+    /// caller may only append to `buffer` between two calls.
+    ///
+    /// The body of a response without framing extends to the end of the connection; `at_end` states whether that has
+    /// been reached.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the response is malformed or exceeds a limit. No response can be parsed after that.
+    pub fn parse(&mut self, buffer: &mut BytesMut, at_end: bool) -> Parsed<Response> {
+        if let ResponseState::Head(scanner) = &mut self.state {
+            let Some(head_length) = scanner.head_length(buffer, MAX_HEAD)? else {
+                return Ok(None);
+            };
+            let partial = PartialResponse::parse(&buffer[..head_length], self.max_body)?;
+            buffer.advance(head_length);
+            self.state = ResponseState::Body(partial);
         }
-        Framing::Length(length) => sized_body(body_input, length),
-        Framing::Chunked => chunked_body(body_input, max_body)?,
-    };
-    Ok(body.map(|body| {
-        let response = Response {
+        if let ResponseState::Body(partial) = &mut self.state {
+            if !partial.body.decode(buffer, at_end)? {
+                return Ok(None);
+            }
+        }
+        match std::mem::take(&mut self.state) {
+            ResponseState::Body(partial) => Ok(Some(partial.into_response())),
+            ResponseState::Head(_) => Ok(None),
+        }
+    }
+
+    /// Returns the received part of the body of an incomplete response; `None` until its head is complete.
+    pub fn partial_body(&self) -> Option<&[u8]> {
+        match &self.state {
+            ResponseState::Head(_) => None,
+            ResponseState::Body(partial) => Some(partial.body.bytes()),
+        }
+    }
+}
+
+impl PartialResponse {
+    fn parse(mut head: &[u8], max_body: usize) -> Result<Self, MessageError> {
+        let line = status_line(&mut head)
+            .map_err(|_| MessageError::Malformed("the status line is malformed"))?;
+        let fields = fields(&mut strip_empty_line(head))?;
+        let framing = match framing(&fields, max_body)? {
+            Framing::Unspecified if has_no_body(line.status) => Framing::Length(0),
+            framing => framing,
+        };
+        let ends_connection = matches!(framing, Framing::Unspecified);
+        Ok(PartialResponse {
             status: line.status,
+            closes_connection: fields.indicates_close(line.is_http_1_0) || ends_connection,
             fields,
-            body: body.bytes,
-            closes_connection,
-        };
-        (response, head_length + body.wire_length)
-    }))
+            body: BodyDecoder::new(framing, max_body),
+        })
+    }
+
+    fn into_response(self) -> Response {
+        Response {
+            status: self.status,
+            fields: self.fields,
+            body: self.body.into_bytes(),
+            closes_connection: self.closes_connection,
+        }
+    }
 }
 
 /// Returns whether a response with this status has no body unless its head states a framing.
