Keep the pause between discovery polls within the grace of drains

Operators saw draining data nodes get new parts up to 0.49 s after an outage of discovery ended, where 0.30 s are allowed. Cause: the pause after a failed poll grew by 0.05 s a fault up to 0.5 s, as the times of polls at a scripted agent show, while the agent's news counts as told from its return on. Ruled out: the polls themselves, which an agent that is back answers at once.

Changed: the longest pause is the deployment's grace of drains less the longest stall of a process (0.15 s), between 0.05 s and the 0.5 s of before; the watch task reads the grace from the settings in force, so that a reload counts. Paths with this cause: all faults of a poll share this pause; the pause after a closed connection is 0.05 s; suspensions and endpoint files are polled at a fixed pace.

--- a/crates/coordinator/src/discovery/watch_task.rs
+++ b/crates/coordinator/src/discovery/watch_task.rs
@@ -5,7 +5,7 @@
 use crate::discovery::agent_connection::{target, AgentConnection};
 use crate::discovery::endpoint_list::EndpointListPayload;
 use crate::http;
-use crate::messages::{ContractsInForce, CoreMessage};
+use crate::messages::{ContractsInForce, CoreMessage, ServedConfiguration};
 use cairnroad_contract::drift::Interface;
 use cairnroad_contract::schema::Direction;
 use cairnroad_discovery_watch::{DiscoveryWatch, WatchError};
@@ -28,12 +28,14 @@
 pub async fn watch_endpoints(
     mut agents: watch::Receiver<SocketAddr>,
     pipeline: mpsc::Sender<CoreMessage>,
+    served: watch::Receiver<Arc<ServedConfiguration>>,
     contracts: Rc<Contracts>,
     clock: Clock,
 ) {
     let mut task = WatchTask {
         watch: DiscoveryWatch::new(clock.now()),
         pipeline,
+        served,
         contracts,
         clock,
     };
@@ -57,6 +59,8 @@
 struct WatchTask {
     watch: DiscoveryWatch,
     pipeline: mpsc::Sender<CoreMessage>,
+    /// The settings in force, which state the grace period of drains.
+    served: watch::Receiver<Arc<ServedConfiguration>>,
     contracts: Rc<Contracts>,
     clock: Clock,
 }
@@ -66,7 +70,8 @@
         let backoff = match self.run_connection(agent).await {
             Ok(()) => self.watch.on_connection_closed(),
             Err(error) => {
-                let backoff = self.watch.on_fault(&error);
+                let drain_grace = self.served.borrow().deployment.policy.drain_grace;
+                let backoff = self.watch.on_fault(&error, drain_grace);
                 let consecutive_faults = self.watch.consecutive_faults();
                 tracing::warn!(server = %agent, %error, consecutive_faults, help = error.help(), "discovery watch restarted");
                 backoff
--- a/crates/coordinator/src/server/start.rs
+++ b/crates/coordinator/src/server/start.rs
@@ -120,7 +120,8 @@
             let contracts = context.contracts.clone();
             let clock = context.clock.clone();
             let agents = agent_address.subscribe();
-            let watch = discovery::watch_endpoints(agents, messages, contracts, clock);
+            let served = context.served_configuration.clone();
+            let watch = discovery::watch_endpoints(agents, messages, served, contracts, clock);
             tokio::task::spawn_local(watch);
         }
     }
--- a/crates/coordinator/tests/discovery_watch_recovery.rs
+++ b/crates/coordinator/tests/discovery_watch_recovery.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use common::scripted_discovery::*;
 use common::*;
 use serde_json::json;
 use std::thread;
@@ -77,6 +78,38 @@
     );
 }
 
+/// Guards against a backoff that grows during an outage beyond the time for which a draining data node may still get
+/// parts: discovery returns in the middle of it, and its list counts as told at once.
+#[test]
+fn the_pause_between_two_polls_stays_under_the_grace_of_drains_in_a_long_outage() {
+    // The settings allow 0.25 s, the platform's rules 0.05 s more, of which a stall of the process may take 0.15 s.
+    const MAX_PAUSE: Duration = Duration::from_millis(150);
+    // The time for which an unanswered poll is waited for after a fault.
+    const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+    const OUTAGE: Duration = Duration::from_secs(9);
+    let data_nodes = DataNodes::new(|_, _, _| Behavior::Serve);
+    let members = start_data_nodes(WireFormat::Platform, &data_nodes);
+    let list = member_list(1, true, &members);
+    let discovery = ScriptedDiscovery::new(move |call| match call.from() {
+        None => ScriptedReply::Send(http_ok(&list)),
+        Some(_) => ScriptedReply::Stall(Vec::new()),
+    });
+    let _coordinator = TestCoordinator::with_config(data_nodes, members, |config| {
+        config["discovery"] = json!(discovery.address.to_string());
+    });
+    thread::sleep(OUTAGE);
+    let calls = discovery.calls.lock().unwrap();
+    let mut pauses: Vec<Duration> = calls
+        .windows(2)
+        .map(|pair| (pair[1].at - pair[0].at).saturating_sub(POLL_TIMEOUT))
+        .collect();
+    assert!(pauses.len() > 8, "{pauses:?}");
+    // The median of the last pauses, since a busy machine may delay some.
+    let mut last: Vec<Duration> = pauses.split_off(pauses.len() - 5);
+    last.sort();
+    assert!(last[2] <= MAX_PAUSE, "pauses {pauses:?}, then {last:?}");
+}
+
 /// Guards against a new process that serves with the older list of its configuration though discovery has a newer one.
 #[test]
 fn a_new_process_applies_the_current_list_before_serving() {
--- a/crates/discovery-watch/src/watch.rs
+++ b/crates/discovery-watch/src/watch.rs
@@ -6,9 +6,10 @@
 
 /// Backoff added per consecutive fault. It is well under the 0.2 s within which a watch has to resume.
 const BACKOFF_STEP: Seconds = 0.05;
-/// Number of consecutive faults after which the backoff no longer grows, so that an agent that stays down is polled
-/// twice a second.
-const MAX_BACKOFF_STEPS: u32 = 10;
+/// Upper bound of the backoff, at which an agent that stays down is polled about twice a second.
+const MAX_BACKOFF: Seconds = 0.5;
+/// Longest time for which the platform holds up a process between two of its steps.
+const MAX_PROCESS_STALL: Seconds = 0.15;
 /// Time since the last response after which this process counts as notified of the changes that it missed.
 const NOTIFIED_AFTER_SILENCE: Seconds = 6.0;
 /// The same, counted from the end of the next poll's wait, if that is later.
@@ -68,13 +69,18 @@
     }
 
     /// Records a fault. Returns the backoff before the watch is restarted.
-    pub fn on_fault(&mut self, error: &WatchError) -> Seconds {
+    ///
+    /// An agent may return during the backoff, and this process counts as notified of what the agent has from then on. So
+    /// the backoff and a stall of the process have to fit into `drain_grace`, the time after the notification of a drain
+    /// within which requests may still be sent.
+    pub fn on_fault(&mut self, error: &WatchError, drain_grace: Seconds) -> Seconds {
         if error.invalidates_revision() {
             self.revision = None;
         }
         self.agent_confirmed = false;
         self.consecutive_faults = self.consecutive_faults.saturating_add(1);
-        BACKOFF_STEP * f64::from(self.consecutive_faults.min(MAX_BACKOFF_STEPS))
+        let backoff = BACKOFF_STEP * f64::from(self.consecutive_faults);
+        backoff.min(max_backoff(drain_grace))
     }
 
     /// Returns the backoff after the agent closed the connection following a complete response, which is not a fault.
@@ -106,5 +112,10 @@
     }
 }
 
+/// Returns the longest backoff with which a drain is still noticed within its grace period.
+fn max_backoff(drain_grace: Seconds) -> Seconds {
+    (drain_grace - MAX_PROCESS_STALL).clamp(BACKOFF_STEP, MAX_BACKOFF)
+}
+
 #[cfg(test)]
 mod tests;
