Reject an answer of the query API that names another search

A data node that sends an answer twice could have its copy served for the next search on the connection: 200 with the values of another query. Cause: while a search was out, whatever arrived was taken for its answer; only bytes between two searches closed the connection.

Changed: the answer's `X-Opaque-Id`, which OpenSearch echoes, has to be that of the search; otherwise the attempt may have run, and the connection ends. Frames name the part in each answer; endpoint lists are states, of which a copy changes nothing. A server that does not echo the field is believed as before.

--- a/crates/coordinator/src/backends/opensearch/connection.rs
+++ b/crates/coordinator/src/backends/opensearch/connection.rs
@@ -2,7 +2,7 @@
 //! answer to an earlier one.
 
 use super::fault::ConnectionFault;
-use super::search::{encode_search, search_outcome};
+use super::search::{encode_search, opaque_id, search_outcome, OPAQUE_ID_FIELD};
 use crate::connections::handle::{ConnectionCommand, ConnectionHandle};
 use crate::http::{self, Response};
 use crate::messages::{OutboundAttempt, PartValue};
@@ -169,6 +169,13 @@
         reusable: bool,
         more_follows: bool,
     ) -> Reuse {
+        // A copy of an earlier answer may arrive after this search was written.
+        let answered_id = response.fields.get(OPAQUE_ID_FIELD);
+        if answered_id.is_some_and(|id| id != opaque_id(&self.part)) {
+            self.log_fault(ConnectionFault::ForeignAnswer);
+            self.handle.poison();
+            return self.on_unusable_answer().await;
+        }
         let (mut outcome, mut value) = search_outcome(response);
         if !self.check_response(response, true) {
             (outcome, value) = (Outcome::Error, None);
--- a/crates/coordinator/src/backends/opensearch/fault.rs
+++ b/crates/coordinator/src/backends/opensearch/fault.rs
@@ -13,6 +13,8 @@
     StalledAnswer,
     #[error("unsolicited data after the answer")]
     TrailingBytes,
+    #[error("answer to another search: its X-Opaque-Id differs")]
+    ForeignAnswer,
     #[error(transparent)]
     Message(#[from] MessageError),
 }
@@ -21,7 +23,9 @@
     /// Returns advice for the operator.
     pub(super) fn help(self) -> &'static str {
         match self {
-            ConnectionFault::UnsolicitedBytes | ConnectionFault::TrailingBytes => {
+            ConnectionFault::UnsolicitedBytes
+            | ConnectionFault::TrailingBytes
+            | ConnectionFault::ForeignAnswer => {
                 "the server sent data that was not requested: check its log and the logs of proxies in front of it"
             }
             ConnectionFault::StalledAnswer => {
--- a/crates/coordinator/src/backends/opensearch/search.rs
+++ b/crates/coordinator/src/backends/opensearch/search.rs
@@ -7,6 +7,14 @@
 use serde_json::json;
 use serde_json::value::RawValue;
 
+/// The field by which a server that writes it into its answer tells the search that the answer is for.
+pub(super) const OPAQUE_ID_FIELD: &str = "X-Opaque-Id";
+
+/// Returns the id of the search for a part, which servers log and may write into the answer.
+pub(super) fn opaque_id(part: &OutboundAttempt) -> String {
+    format!("{}.{}", part.external_id, part.shard)
+}
+
 /// Encodes the search request for a part.
 pub(super) fn encode_search(part: &OutboundAttempt, host: &str, now: Time) -> Vec<u8> {
     let body = match &part.payload {
@@ -20,12 +28,11 @@
     let key_field = key.map_or(String::new(), |key| format!("Idempotency-Key: {key}\r\n"));
     let head = format!(
         "POST /{}/_search?preference=_shards:{}&allow_partial_search_results=false\
-         &cancel_after_time_interval={remaining_ms}ms HTTP/1.1\r\nHost: {host}\r\nX-Opaque-Id: {}.{}\r\n\
+         &cancel_after_time_interval={remaining_ms}ms HTTP/1.1\r\nHost: {host}\r\n{OPAQUE_ID_FIELD}: {}\r\n\
          {key_field}Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
         part.class,
         part.shard,
-        part.external_id,
-        part.shard,
+        opaque_id(part),
         body.len()
     );
     [head.as_bytes(), body.as_bytes()].concat()
--- a/crates/coordinator/tests/answer_lengths.rs
+++ b/crates/coordinator/tests/answer_lengths.rs
@@ -1,10 +1,10 @@
 //! Answers of data nodes whose declared length is too short: the rest of the value follows behind the answer, so that the
-//! value within the declared length is cut.
+//! value within the declared length is cut. Answers of the query API that belong to another search.
 
 mod common;
 
 use common::*;
-use serde_json::Value;
+use serde_json::{json, Value};
 
 fn short_answer(missing: usize, split: Split) -> Behavior {
     Behavior::Malformed(Malformation::ShortLength(ShortLength { missing, split }))
@@ -136,3 +136,32 @@
         .filter(|line| line.contains("server connection closed"));
     assert_eq!(faults.count(), 0, "{log:?}");
 }
+
+/// Guards against a copy of an earlier answer that arrives after the next search was written on its connection, and is
+/// served as the answer to that search.
+#[test]
+fn a_late_copy_of_an_answer_is_not_served_for_the_next_search() {
+    let plan = |marker: u64, _, earlier_attempts| match (marker % 2, earlier_attempts) {
+        (0, _) => Behavior::Irregular(Irregularity::LateRepeatedAnswer(60)),
+        (_, 0) => Behavior::Delay(150),
+        _ => Behavior::Serve,
+    };
+    let data_nodes = DataNodes::new(plan);
+    // With a single holder of the shard, each search is sent on the connection of the one before it.
+    let mut members = start_data_nodes(WireFormat::OpenSearch, &data_nodes);
+    members.retain(|member| member["id"] != "s-3");
+    let coordinator =
+        TestCoordinator::start_with_change(WireFormat::OpenSearch, data_nodes, members, |_| ());
+    for marker in 2..22 {
+        let id = format!("l{marker}");
+        let query = format!("~{marker}~");
+        let answer = coordinator.post_api(&id, "stock-search", "2.0", &[1], &query);
+        assert_eq!(answer.status, 200, "{}", answer.json);
+        let own_value = json!(part_value(marker, 1)).to_string();
+        let doc = answer.json["hits"][0]["doc"].as_str().unwrap();
+        assert!(
+            doc.contains(&own_value),
+            "query {marker} was answered with {doc}"
+        );
+    }
+}
--- a/crates/coordinator/tests/common/behavior.rs
+++ b/crates/coordinator/tests/common/behavior.rs
@@ -90,6 +90,8 @@
     /// The same answer is sent twice.
     RepeatedAnswer,
     TrailingBytes,
+    /// The same answer is sent again after this many milliseconds. On the frame protocol, it is sent once.
+    LateRepeatedAnswer(u64),
     /// A load report that can't be parsed.
     UnreadableReport,
 }
--- a/crates/coordinator/tests/common/search_node.rs
+++ b/crates/coordinator/tests/common/search_node.rs
@@ -42,6 +42,7 @@
         let key = message.fields.get("idempotency-key").cloned();
         let query = String::from_utf8(message.body).unwrap();
         let part = data_nodes.receive(number, &query, shard, key.as_deref());
+        let opaque_id = message.fields.get("x-opaque-id").cloned();
         let hits = hits(marker(&query), shard);
         match part.behavior {
             Behavior::CloseMidAnswer => {
@@ -59,7 +60,20 @@
             }
             behavior => {
                 let text = answer(behavior, &hits);
+                // As OpenSearch does, the answer names the search that it is for.
+                let opaque_id = opaque_id.unwrap_or_default();
+                let text = text.replace(
+                    "Content-Type:",
+                    &format!("X-Opaque-Id: {opaque_id}\r\nContent-Type:"),
+                );
                 stream.write_all(text.as_bytes()).ok()?;
+                if let Behavior::Irregular(Irregularity::LateRepeatedAnswer(millis)) = behavior {
+                    let mut stream = stream.try_clone().ok()?;
+                    thread::spawn(move || {
+                        thread::sleep(Duration::from_millis(millis));
+                        let _ = stream.write_all(text.as_bytes());
+                    });
+                }
             }
         }
     }
@@ -86,9 +100,10 @@
     let body = search_body(hits);
     match behavior {
         Behavior::Respond(status, media_type, body) => response(status, media_type, body),
-        Behavior::Serve | Behavior::Irregular(Irregularity::UnreadableReport) => {
-            json_response("200 OK", &body)
-        }
+        Behavior::Serve
+        | Behavior::Irregular(
+            Irregularity::UnreadableReport | Irregularity::LateRepeatedAnswer(_),
+        ) => json_response("200 OK", &body),
         Behavior::Irregular(Irregularity::RepeatedAnswer) => {
             json_response("200 OK", &body).repeat(2)
         }
