--- a/crates/coordinator/src/admin_api/exchange.rs
+++ b/crates/coordinator/src/admin_api/exchange.rs
@@ -3,6 +3,7 @@
 use super::open_connections::RequestReceived;
 use super::AdminApi;
 use crate::connections::discard::DiscardLimiter;
+use crate::connections::socket::READ_SIZE;
 use crate::http;
 use bytes::BytesMut;
 use cairnroad_admin::request::{parse_request, AdminRequest, AdminResponse, AllowedMethod};
@@ -104,7 +105,7 @@
         if parser.expects_continue() {
             return Some(Err(http::MessageError::Malformed("calls have no body")));
         }
-        buffer.reserve(http::READ_SIZE);
+        buffer.reserve(READ_SIZE);
         match stream.read_buf(&mut buffer).await {
             Ok(0) if parser.has_begun() || !buffer.is_empty() => {
                 return Some(Err(http::MessageError::Malformed("the call is not whole")))
--- a/crates/coordinator/src/backends/frames/connection.rs
+++ b/crates/coordinator/src/backends/frames/connection.rs
@@ -7,7 +7,7 @@
 use super::fault::ConnectionFault;
 use super::outbound::OutboundQueue;
 use crate::connections::handle::{ConnectionCommand, ConnectionHandle};
-use crate::connections::socket;
+use crate::connections::socket::{self, READ_SIZE};
 use crate::messages::{AttemptId, OutboundAttempt};
 use bytes::BytesMut;
 use cairnroad_types::Outcome;
@@ -20,9 +20,6 @@
 /// takes longer has a wrong length, and the part that it answers would wait for its timeout.
 pub(super) const PARTIAL_FRAME_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Room for each read, in bytes. A read can return no more, which bounds the work between two reads.
-const READ_SIZE: usize = 4 * 1024;
-
 /// Runs a connection from the dial to the close.
 pub async fn run(handle: ConnectionHandle) {
     let Some(stream) = handle.dial().await else {
@@ -70,8 +67,7 @@
     /// Received bytes that do not form a complete frame yet.
     pub(super) buffer: BytesMut,
     pub(super) parser: FrameParser,
-    /// The last attempt that was answered with a value, as long as nothing confirms the length of its answer: neither the
-    /// start of another frame nor its absence can be told from bytes that belong to the value and have not arrived.
+    /// The attempt that was answered last with a value, until the start of another frame confirms the length of its answer.
     pub(super) unconfirmed_answer: Option<AttemptId>,
     /// The time by which the incomplete frame in the buffer must be complete; `None` if the buffer is empty.
     pub(super) partial_deadline: Option<Instant>,
--- a/crates/coordinator/src/backends/opensearch/connection.rs
+++ b/crates/coordinator/src/backends/opensearch/connection.rs
@@ -4,6 +4,7 @@
 use super::fault::ConnectionFault;
 use super::search::{encode_search, opaque_id, search_outcome, OPAQUE_ID_FIELD};
 use crate::connections::handle::{ConnectionCommand, ConnectionHandle};
+use crate::connections::socket::READ_SIZE;
 use crate::http::{self, Response};
 use crate::messages::{OutboundAttempt, PartValue};
 use bytes::BytesMut;
@@ -114,7 +115,7 @@
         loop {
             let is_written = self.written_bytes == self.request.len();
             let has_begun = !buffer.is_empty() || self.parser.partial_body().is_some();
-            buffer.reserve(http::READ_SIZE);
+            buffer.reserve(READ_SIZE);
             tokio::select! {
                 // Cancels come first: a part that was cancelled while its connection was being dialled must not be
                 // sent.
--- a/crates/coordinator/src/discovery/agent_connection.rs
+++ b/crates/coordinator/src/discovery/agent_connection.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1.1 connection to the discovery agent.
 
+use crate::connections::socket::READ_SIZE;
 use crate::http;
 use bytes::BytesMut;
 use cairnroad_discovery_watch::{PollRequest, WatchError, CONNECT_TIMEOUT};
@@ -62,7 +63,7 @@
         self.stream.write_all(request.as_bytes()).await?;
         let mut parser = http::ResponseParser::new(MAX_LIST_BYTES);
         loop {
-            self.buffer.reserve(http::READ_SIZE);
+            self.buffer.reserve(READ_SIZE);
             let is_closed = self.stream.read_buf(&mut self.buffer).await? == 0;
             let parsed = parser
                 .parse(&mut self.buffer, is_closed)
--- a/crates/coordinator/src/fronts/session/next_request.rs
+++ b/crates/coordinator/src/fronts/session/next_request.rs
@@ -1,7 +1,7 @@
 //! Waits for the next request of a connection, or for an event that ends the wait.
 
 use super::{is_stopping, ClientSession};
-use crate::connections::socket;
+use crate::connections::socket::{self, READ_SIZE};
 use crate::http;
 use crate::messages::ServingPhase;
 use bytes::BytesMut;
@@ -63,7 +63,7 @@
                 true => idle_deadline,
                 false => *first_byte_at.get_or_insert_with(Instant::now) + REQUEST_READ_TIMEOUT,
             });
-            self.buffer.reserve(http::READ_SIZE);
+            self.buffer.reserve(READ_SIZE);
             // `None` ends the wait of an idle connection, an error the wait for the rest of a request.
             let error = tokio::select! {
                 biased;
@@ -108,7 +108,7 @@
     fn update_idle_state(&mut self) -> bool {
         let idle = self.buffer.is_empty() && !self.parser.has_begun();
         if idle {
-            if self.buffer.capacity() > http::READ_SIZE {
+            if self.buffer.capacity() > READ_SIZE {
                 self.buffer = BytesMut::new();
             }
             self.connection.mark_idle(self.front.clock.now());
--- a/crates/coordinator/src/http/mod.rs
+++ b/crates/coordinator/src/http/mod.rs
@@ -22,9 +22,5 @@
 pub const MAX_FIELDS: usize = 100;
 /// Maximum size of a request body in bytes, as specified by the platform.
 pub const MAX_BODY: usize = 64 * 1024;
-/// Room that a reader provides in its buffer before each read of a message, in bytes. A read can return no more, which
-/// bounds the work between two reads.
-pub const READ_SIZE: usize = 4 * 1024;
-
 /// A complete message; `None` while the message is incomplete.
 pub type Parsed<T> = Result<Option<T>, MessageError>;
