Begin no attempt for a client whose disconnect may lie behind unread bytes

Cause: a disconnect is seen only behind everything that was sent before it. While an answer is awaited, a session keeps 16 KiB and discards the rest at 256 KiB for each 5 ms and four connections (connections/discard.rs), so with tens of flooding clients the end of the stream is read some tenths of a second late. The only sign of a disconnect was the reply channel that the session drops then (pipeline/core.rs, withdraw_requests_without_client). Reading without a limit was ruled out: the client's machine holds megabytes of each connection, and floods would occupy the thread.

Change: the session records since when bytes stay unread (messages/client_liveness.rs). After 50 ms the client is unconfirmed until its socket was read to the end and stayed quiet for 10 ms. Paths with the same cause, and what each does now: - first attempts (a query taken from the buffer after the close, the searches of an _msearch): rejected, nothing ran; - hedged requests and retries: wait for the confirmation, in the router (client_liveness.rs, under 'policy'); - attempts queued behind a dial or another frame, both backends: not sent, reported as never run; - attempts in flight: still awaited, so an at-most-once part is neither resent nor refused; - admin API, lingering connections: begin no attempts.

--- a/crates/coordinator/src/admin_api/exchange.rs
+++ b/crates/coordinator/src/admin_api/exchange.rs
@@ -89,7 +89,7 @@
 /// Closes a connection after its client has closed it, or after the linger time.
 async fn close(mut stream: TcpStream, discards: &DiscardLimiter) {
     let _ = stream.shutdown().await;
-    let _ = timeout(LINGER, discards.discard(&mut stream)).await;
+    let _ = timeout(LINGER, discards.discard(&stream)).await;
 }
 
 /// Reads the connection's request; `None` if the client closed the connection without one.
--- a/crates/coordinator/src/connections/pool/tests.rs
+++ b/crates/coordinator/src/connections/pool/tests.rs
@@ -62,6 +62,7 @@
         payload: Payload::Plain("t".into()),
         deadline: clock.now() + 9.0,
         contracts: None,
+        client: Default::default(),
     }
 }
 
--- a/crates/coordinator/src/fronts/exchange.rs
+++ b/crates/coordinator/src/fronts/exchange.rs
@@ -1,7 +1,7 @@
 //! Submits requests to the core and waits for their answers, while watching for the client's disconnect.
 
 use super::front::Front;
-use crate::messages::{Answer, ContractsInForce, Request};
+use crate::messages::{Answer, ClientLiveness, ContractsInForce, Request};
 use crate::pipeline::request_queue;
 use bytes::BytesMut;
 use tokio::io::AsyncReadExt;
@@ -26,6 +26,8 @@
     pub buffer: &'a mut BytesMut,
     /// Set once the client has pipelined more than the buffer holds; the excess bytes are discarded.
     pub overrun: &'a mut bool,
+    /// Whether the client is known to be connected.
+    pub client: &'a ClientLiveness,
     /// The interface descriptions that were in force when the request arrived.
     pub contracts: ContractsInForce,
 }
@@ -40,6 +42,7 @@
         let retry_after = self.front.retry_after();
         let receivers = requests.into_iter().map(|mut request| {
             request.contracts = self.contracts.clone();
+            request.client = self.client.clone();
             request.deadline = self.front.connections.cap_deadline(request.deadline);
             request_queue::submit(&self.front.request_queue, request, retry_after)
         });
@@ -61,10 +64,12 @@
             *self.overrun |= self.buffer.len() >= MAX_PIPELINED_BYTES;
             if *self.overrun {
                 // The bytes are discarded but still read, because a disconnect is only seen behind them.
+                let disconnect =
+                    discards.discard_until_disconnect(self.stream, self.client, &self.front.clock);
                 tokio::select! {
                     biased;
                     answers = &mut answers => return Ok(answers),
-                    () = discards.discard(self.stream) => return Err(ClientDisconnected),
+                    () = disconnect => return Err(ClientDisconnected),
                 }
             }
             tokio::select! {
--- a/crates/coordinator/src/fronts/opensearch/mod.rs
+++ b/crates/coordinator/src/fronts/opensearch/mod.rs
@@ -13,7 +13,7 @@
 use super::front::Front;
 use super::reply::Reply;
 use crate::http;
-use crate::messages::{PartSpec, Payload, Request};
+use crate::messages::{ClientLiveness, PartSpec, Payload, Request};
 use cairnroad_types::{Idempotency, Time};
 use error::QueryError;
 pub use multi_search::MAX_SEARCHES;
@@ -152,5 +152,6 @@
         idempotency_key: is_keyed.then(|| front.generate_idempotency_key()),
         payload: Payload::Query(search.body.as_str().into()),
         contracts: None,
+        client: ClientLiveness::default(),
     }
 }
--- a/crates/coordinator/src/fronts/platform.rs
+++ b/crates/coordinator/src/fronts/platform.rs
@@ -5,8 +5,8 @@
 use super::reply::Reply;
 use crate::http;
 use crate::messages::{
-    Answer, IdempotencyKey, MalformedIdempotencyKey, PartAnswer, PartSpec, PartValue, Payload,
-    Request,
+    Answer, ClientLiveness, IdempotencyKey, MalformedIdempotencyKey, PartAnswer, PartSpec,
+    PartValue, Payload, Request,
 };
 use cairnroad_settings::Deployment;
 use cairnroad_types::{Idempotency, Seconds, Time};
@@ -164,6 +164,7 @@
         idempotency_key,
         payload: Payload::Plain(body.q.into()),
         contracts: None,
+        client: ClientLiveness::default(),
     })
 }
 
--- a/crates/coordinator/src/fronts/session.rs
+++ b/crates/coordinator/src/fronts/session.rs
@@ -10,7 +10,7 @@
 use super::{health, opensearch, platform};
 use crate::contract::SampledRequest;
 use crate::http;
-use crate::messages::{ContractsInForce, ServingPhase};
+use crate::messages::{ClientLiveness, ContractsInForce, ServingPhase};
 use bytes::BytesMut;
 use cairnroad_contract::enforcement::Rejection;
 use cairnroad_types::Time;
@@ -38,6 +38,7 @@
         buffer: BytesMut::new(),
         parser: http::RequestParser::default(),
         overrun: false,
+        client: ClientLiveness::default(),
         first_request_deadline: Some(Instant::now() + REQUEST_READ_TIMEOUT),
         pipelining_since: None,
         connection,
@@ -55,6 +56,8 @@
     parser: http::RequestParser,
     /// Whether the client pipelined more than the buffer holds; the excess bytes were discarded.
     overrun: bool,
+    /// Whether the client is known to be connected.
+    client: ClientLiveness,
     /// Time by which the first request must be complete; `None` once the wait for it has begun.
     first_request_deadline: Option<Instant>,
     /// Receipt of the first in a run of pipelined requests; `None` if no request was in the buffer after the last
@@ -156,6 +159,7 @@
             stream: &mut self.stream,
             buffer: &mut self.buffer,
             overrun: &mut self.overrun,
+            client: &self.client,
             contracts,
         };
         match front.kind {
--- a/crates/coordinator/src/fronts/session/lingering_close.rs
+++ b/crates/coordinator/src/fronts/session/lingering_close.rs
@@ -19,7 +19,7 @@
         self.connection.begin_linger(self.front.clock.now());
         let discards = &self.front.connections.discards;
         tokio::select! {
-            () = discards.discard(&mut self.stream) => {}
+            () = discards.discard(&self.stream) => {}
             () = self.connection.wait_for_eviction() => {}
             () = tokio::time::sleep(timeout) => {}
         }
--- a/crates/coordinator/src/messages/attempt.rs
+++ b/crates/coordinator/src/messages/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts at a part: their ids, the form in which the core sends them, and their results.
 
-use super::{ContractsInForce, IdempotencyKey, PartValue, Payload};
+use super::{ClientLiveness, ContractsInForce, IdempotencyKey, PartValue, Payload};
 use cairnroad_types::{Outcome, RequestId, Time};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -40,12 +40,16 @@
     pub deadline: Time,
     /// The descriptions that the server's answer is checked against.
     pub contracts: ContractsInForce,
+    /// Whether the client of the request is known to be connected.
+    pub client: ClientLiveness,
 }
 
 impl OutboundAttempt {
     /// Returns whether sending the attempt may begin at `now`.
     pub fn may_be_sent(&self, now: Time) -> bool {
-        self.send_allowed.get() && self.send_by.is_none_or(|by| now < by)
+        self.send_allowed.get()
+            && self.send_by.is_none_or(|by| now < by)
+            && self.client.is_confirmed(now)
     }
 }
 
--- a/crates/coordinator/src/messages/mod.rs
+++ b/crates/coordinator/src/messages/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod attempt;
+mod client_liveness;
 mod connection_event;
 mod core_message;
 mod endpoint_list;
@@ -16,6 +17,7 @@
 
 pub use answer::{Answer, PartAnswer, PartFailure, PartValue};
 pub use attempt::{AttemptId, AttemptResult, OutboundAttempt};
+pub use client_liveness::ClientLiveness;
 pub use connection_event::{ConnectionEvent, ConnectionId, ConnectionReport};
 pub use core_message::{CoreMessage, LocalOutliers};
 pub use endpoint_list::{EndpointEntry, EndpointListUpdate};
--- a/crates/coordinator/src/messages/request.rs
+++ b/crates/coordinator/src/messages/request.rs
@@ -1,6 +1,6 @@
 //! Requests as the fronts submit them to the core.
 
-use super::{Answer, IdempotencyKey};
+use super::{Answer, ClientLiveness, IdempotencyKey};
 use cairnroad_contract::enforcement::ActiveContracts;
 use cairnroad_types::{Seconds, Time};
 use std::sync::Arc;
@@ -57,6 +57,8 @@
     pub payload: Payload,
     /// The descriptions that the servers' answers are checked against.
     pub contracts: ContractsInForce,
+    /// Whether the client is known to be connected.
+    pub client: ClientLiveness,
 }
 
 /// A request and the channel for its final answer.
--- a/crates/coordinator/src/pipeline/admission.rs
+++ b/crates/coordinator/src/pipeline/admission.rs
@@ -55,6 +55,13 @@
             over_capacity: true,
         });
     }
+    // Nothing has been sent yet, so the client may safely retry if it is still there.
+    if !request.client.is_confirmed(now) {
+        return Some(Answer::Rejected {
+            retry_after: RETRY_AFTER_OBJECTIVES * router.latency_objective(request.class),
+            over_capacity: true,
+        });
+    }
     (request.deadline <= now).then_some(Answer::Failed { timed_out: true })
 }
 
--- a/crates/coordinator/src/pipeline/core.rs
+++ b/crates/coordinator/src/pipeline/core.rs
@@ -146,6 +146,7 @@
         self.process_messages(now);
         self.fire_timers(now);
         self.withdraw_requests_without_client();
+        self.update_client_liveness(now);
         self.admit_requests(now);
         self.run_router(now);
         self.log_metrics(now);
@@ -160,6 +161,13 @@
         }
     }
 
+    /// Suspends further attempts of requests whose clients may have disconnected unnoticed.
+    fn update_client_liveness(&mut self, now: Time) {
+        for event in self.requests.client_liveness_changes(now) {
+            self.router.push(event);
+        }
+    }
+
     fn admit_requests(&mut self, now: Time) {
         for client in self.request_queue.drain() {
             admission::admit(
--- a/crates/coordinator/src/pipeline/core/tests.rs
+++ b/crates/coordinator/src/pipeline/core/tests.rs
@@ -125,6 +125,7 @@
         idempotency_key: None,
         payload: Payload::Plain("t".into()),
         contracts: None,
+        client: Default::default(),
     }
 }
 
@@ -186,3 +187,46 @@
         }
     }
 }
+
+/// Guards against attempts that begin for a client whose disconnect is hidden behind unread bytes: a first attempt, and
+/// a retry after an attempt that never ran.
+#[test]
+fn nothing_is_sent_while_bytes_of_the_client_stay_unread() {
+    for is_retry in [false, true] {
+        with_core(|harness| {
+            let mut core = harness.core;
+            core.on_endpoint_update(&two_replicas(), false);
+            let (reply, mut answer) = oneshot::channel::<Answer>();
+            let request = request(core.clock.now() + 1.9);
+            let client = request.client.clone();
+            let queued = ClientRequest { request, reply };
+            harness.requests.try_send(queued).unwrap();
+            let long_ago = core.clock.now() + -1.0;
+            if is_retry {
+                core.tick();
+                let message = attempt_rejected(attempt(0));
+                assert!(harness.messages.try_send(message).is_ok());
+            }
+            client.on_unread(long_ago);
+            core.tick();
+            assert!(!core.pool.is_in_flight(attempt(u8::from(is_retry))));
+            // A request of which nothing was sent is rejected at once; the retry is sent once the client is confirmed.
+            assert_eq!(answer.try_recv().is_ok(), !is_retry);
+            client.on_read_to_end();
+            core.tick();
+            assert_eq!(core.pool.is_in_flight(attempt(1)), is_retry);
+        });
+    }
+}
+
+/// Returns the report that a server rejected an attempt without running it.
+fn attempt_rejected(attempt: AttemptId) -> CoreMessage {
+    CoreMessage::Connection(ConnectionReport {
+        connection: ConnectionId(0),
+        event: ConnectionEvent::AttemptEnded {
+            attempt,
+            outcome: Outcome::Rejected,
+            value: None,
+        },
+    })
+}
--- a/crates/coordinator/src/pipeline/request_table.rs
+++ b/crates/coordinator/src/pipeline/request_table.rs
@@ -6,7 +6,7 @@
 use crate::configuration::Config;
 use crate::messages::{AttemptId, AttemptResult, ClientRequest, OutboundAttempt, PartSpec};
 use cairnroad_settings::Deployment;
-use cairnroad_types::{Class, Idempotency, RequestId, Seconds, Time};
+use cairnroad_types::{Class, Event, Idempotency, RequestId, Seconds, Time};
 pub use open_request::OpenRequest;
 use recent_names::RecentExternalIds;
 use std::cell::Cell;
@@ -187,6 +187,19 @@
         abandoned.map(|(&id, _)| id).collect()
     }
 
+    /// Returns the events for the requests whose clients became unconfirmed, or were confirmed again, since the last
+    /// call.
+    pub fn client_liveness_changes(&mut self, now: Time) -> Vec<Event> {
+        let changed = self.requests.iter_mut().filter_map(|(&id, open)| {
+            let is_confirmed = open.client_liveness_change(now)?;
+            Some(match is_confirmed {
+                true => Event::ClientConfirmed(id),
+                false => Event::ClientUnconfirmed(id),
+            })
+        });
+        changed.collect()
+    }
+
     /// Records the result of an attempt. The first value of a part is kept.
     pub fn record_result(&mut self, result: &AttemptResult) {
         let Some(part) = self.parts.get_mut(&result.attempt.part) else {
@@ -237,6 +250,7 @@
             payload: request.payload.clone(),
             deadline,
             contracts: request.contracts.clone(),
+            client: request.client.clone(),
         })
     }
 }
--- a/crates/coordinator/src/pipeline/request_table/open_request.rs
+++ b/crates/coordinator/src/pipeline/request_table/open_request.rs
@@ -25,6 +25,8 @@
     results: BTreeMap<RequestId, PartResult>,
     has_retracted_value: bool,
     any_attempt_ended: bool,
+    /// Whether the router takes the client for connected.
+    is_client_confirmed: bool,
 }
 
 impl OpenRequest {
@@ -37,6 +39,7 @@
             results: BTreeMap::new(),
             has_retracted_value: false,
             any_attempt_ended: false,
+            is_client_confirmed: true,
         }
     }
 
@@ -45,6 +48,13 @@
         &self.request
     }
 
+    /// Returns whether the client is confirmed to be connected, if that has changed since the last call.
+    pub fn client_liveness_change(&mut self, now: Time) -> Option<bool> {
+        let is_confirmed = self.request.client.is_confirmed(now);
+        let was_confirmed = std::mem::replace(&mut self.is_client_confirmed, is_confirmed);
+        (is_confirmed != was_confirmed).then_some(is_confirmed)
+    }
+
     /// Returns the index of the request's class in the deployment's class table.
     pub fn class(&self) -> usize {
         self.request.class
--- a/crates/coordinator/src/pipeline/request_table/tests.rs
+++ b/crates/coordinator/src/pipeline/request_table/tests.rs
@@ -41,6 +41,7 @@
         idempotency_key: None,
         payload: Payload::Plain("t".into()),
         contracts: None,
+        client: Default::default(),
     };
     ClientRequest { request, reply }
 }
--- a/crates/routing/src/event_loop.rs
+++ b/crates/routing/src/event_loop.rs
@@ -95,6 +95,11 @@
             } => self.on_health_check_ended(*server, *outcome, report),
             Event::OutlierAdvice(servers) => self.on_outlier_advice(now, servers),
             Event::ClientGone(id) => self.remove_query(now, *id, actions),
+            Event::ClientUnconfirmed(id) => self.on_client_unconfirmed(*id),
+            Event::ClientConfirmed(id) => {
+                let parts = self.on_client_confirmed(now, *id);
+                follow_ups.failed_parts.extend(parts);
+            }
             Event::TimerFired => {}
         }
     }
--- a/crates/routing/src/hedging.rs
+++ b/crates/routing/src/hedging.rs
@@ -15,6 +15,10 @@
     /// Without such a replica no hedged request is sent, because it would only add load during a general
     /// slowdown.
     pub(crate) fn hedge(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        if self.awaits_client(id) {
+            self.defer_hedge(id);
+            return;
+        }
         let Some(part) = self.parts.get(&id) else {
             return;
         };
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -63,6 +63,7 @@
 mod arrivals;
 mod attempt;
 mod attempt_outcome;
+mod client_liveness;
 mod completion;
 mod dispatch;
 mod endpoints;
--- a/crates/routing/src/part.rs
+++ b/crates/routing/src/part.rs
@@ -19,6 +19,8 @@
     pub(crate) tried_servers: Vec<ServerId>,
     /// Whether an attempt ended without proof that it never ran.
     pub(crate) may_have_run: bool,
+    /// Whether the part's hedged request waits until its client is confirmed to be connected.
+    pub(crate) is_hedge_deferred: bool,
     /// Server whose stale connection reset the part's attempt; the next attempt goes to it.
     pub(crate) resend_to: Option<ServerId>,
 }
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -48,6 +48,8 @@
     pub(crate) reset_attempts: u32,
     /// Number of attempts that were answered.
     pub(crate) answered_attempts: u32,
+    /// Whether it is unknown if the client is still connected, so that no attempt may begin.
+    pub(crate) is_client_unconfirmed: bool,
     /// Whether the client marked the query as a retry.
     pub(crate) is_client_retry: bool,
     pub(crate) fingerprint: QueryFingerprint,
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -12,7 +12,7 @@
             return;
         };
         let query = part.query;
-        if self.may_retry(now, id) {
+        if !self.awaits_client(id) && self.may_retry(now, id) {
             if let Some(selected) = self.select_replica(now, id) {
                 self.send(now, id, selected.server, actions);
             }
--- a/crates/routing/tests/decisions/main.rs
+++ b/crates/routing/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+mod client_liveness;
 mod completion;
 mod endpoints;
 mod hedging;
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -56,6 +56,11 @@
     OutlierAdvice(Vec<ServerId>),
     /// The client of this query disconnected, so that no answer can be delivered.
     ClientGone(RequestId),
+    /// It is not known whether the client of this query is still connected. No attempt may begin until
+    /// [`Event::ClientConfirmed`].
+    ClientUnconfirmed(RequestId),
+    /// The client of this query is connected, after [`Event::ClientUnconfirmed`].
+    ClientConfirmed(RequestId),
     /// A moment requested by [`Action::SetTimer`](crate::Action::SetTimer) was reached.
     TimerFired,
 }
