--- a/crates/coordinator/src/admin_api/exchange.rs
+++ b/crates/coordinator/src/admin_api/exchange.rs
@@ -20,6 +20,9 @@
 /// response.
 const LINGER: Duration = Duration::from_millis(200);
 
+/// Maximum size of a request with its body, which has no content, in bytes.
+const MAX_REQUEST: usize = http::MAX_HEAD + READ_SIZE;
+
 /// An HTTP response to an admin request.
 struct Reply {
     status: u16,
@@ -96,6 +99,7 @@
 async fn read_request(stream: &mut TcpStream) -> Option<Result<http::Request, http::MessageError>> {
     let mut buffer = BytesMut::new();
     let mut parser = http::RequestParser::default();
+    let mut received = 0;
     loop {
         match parser.parse(&mut buffer) {
             Ok(Some(request)) => return Some(Ok(request)),
@@ -105,13 +109,16 @@
         if parser.expects_continue() {
             return Some(Err(http::MessageError::Malformed("calls have no body")));
         }
+        if received > MAX_REQUEST {
+            return Some(Err(http::MessageError::BodyTooLarge));
+        }
         buffer.reserve(READ_SIZE);
         match stream.read_buf(&mut buffer).await {
             Ok(0) if parser.has_begun() || !buffer.is_empty() => {
                 return Some(Err(http::MessageError::Malformed("the call is not whole")))
             }
             Ok(0) | Err(_) => return None,
-            Ok(_) => {}
+            Ok(bytes) => received += bytes,
         }
     }
 }
--- a/crates/coordinator/src/admin_api/mod.rs
+++ b/crates/coordinator/src/admin_api/mod.rs
@@ -22,6 +22,8 @@
 /// Time limit for the pipeline to carry out a request. The pipeline runs every few milliseconds; the limit guards
 /// against one that hangs.
 const PIPELINE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Interval of checks for a free slot while all connections carry out requests.
+const FREE_SLOT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Pause after a failed accept, since descriptors may run out for a short time.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -49,6 +51,9 @@
     });
     let mut connections = OpenConnections::default();
     loop {
+        while connections.is_full() {
+            tokio::time::sleep(FREE_SLOT_POLL_INTERVAL).await;
+        }
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
--- a/crates/coordinator/src/admin_api/open_connections.rs
+++ b/crates/coordinator/src/admin_api/open_connections.rs
@@ -9,6 +9,10 @@
 /// tools, but some clients stay silent for seconds.
 const MAX_CONNECTIONS: usize = 16;
 
+/// Upper limit on open connections in any state. Requests are answered within a second, so that further connections wait
+/// in the backlog for no longer.
+const MAX_CONNECTIONS_WITH_REQUESTS: usize = 32;
+
 /// Flag that a connection's request was received, shared between its task and [`OpenConnections`].
 #[derive(Clone, Default)]
 pub(super) struct RequestReceived(Rc<Cell<bool>>);
@@ -43,8 +47,7 @@
     ///
     /// A request that was received is still carried out and answered, which takes less than a second.
     pub(super) fn make_room(&mut self) {
-        self.connections
-            .retain(|connection| !connection.task.is_finished());
+        self.remove_finished();
         while self.connections.len() >= MAX_CONNECTIONS {
             let Some(oldest) = self.oldest_without_request() else {
                 return;
@@ -53,6 +56,17 @@
         }
     }
 
+    /// Returns whether no further connection may be accepted, even for another one in exchange.
+    pub(super) fn is_full(&mut self) -> bool {
+        self.remove_finished();
+        self.connections.len() >= MAX_CONNECTIONS_WITH_REQUESTS
+    }
+
+    fn remove_finished(&mut self) {
+        self.connections
+            .retain(|connection| !connection.task.is_finished());
+    }
+
     fn oldest_without_request(&self) -> Option<usize> {
         self.connections
             .iter()
--- a/crates/coordinator/src/backends/frames/connection.rs
+++ b/crates/coordinator/src/backends/frames/connection.rs
@@ -113,6 +113,10 @@
                             socket::read_available(reader.as_ref(), &mut self.buffer);
                         }
                         self.on_received().await?;
+                        self.release_empty_buffer();
+                        if !self.handle.reserve(self.buffer.capacity()) {
+                            return Err(ConnectionFault::OutOfMemory);
+                        }
                     }
                 },
                 () = tokio::time::sleep_until(partial_deadline), if self.partial_deadline.is_some() => {
@@ -130,6 +134,13 @@
         }
     }
 
+    /// Gives up a buffer that grew for a large answer.
+    fn release_empty_buffer(&mut self) {
+        if self.buffer.is_empty() && self.buffer.capacity() > READ_SIZE {
+            self.buffer = BytesMut::new();
+        }
+    }
+
     /// Moves all waiting commands to the outbound queue, so that a cancel can remove its part before the part is
     /// written.
     fn receive_commands(&mut self) {
--- a/crates/coordinator/src/backends/frames/fault.rs
+++ b/crates/coordinator/src/backends/frames/fault.rs
@@ -36,6 +36,8 @@
     UnsolicitedLoadReport,
     #[error("unsolicited ping from the server")]
     UnsolicitedPing,
+    #[error("incomplete answers of all servers together exceed their memory")]
+    OutOfMemory,
     #[error("the server rejected a frame: {0}")]
     RejectedFrame(String),
 }
@@ -58,6 +60,9 @@
             | ConnectionFault::UnsolicitedPing => {
                 "the server sent data that was not requested: check the server's log"
             }
+            ConnectionFault::OutOfMemory => {
+                "the servers' answers are too large for the memory in the settings, or servers stop in the middle of them"
+            }
             ConnectionFault::RejectedFrame(_) => {
                 "the server's text states which frame it rejected: check the version of the server"
             }
--- a/crates/coordinator/src/backends/opensearch/connection.rs
+++ b/crates/coordinator/src/backends/opensearch/connection.rs
@@ -65,6 +65,8 @@
                 if exchange.run(&mut stream, &mut buffer).await == Reuse::Close {
                     break;
                 }
+                // Shrinking a reservation never fails.
+                let _ = handle.reserve(buffer.capacity());
             }
             // The part has already been answered.
             Some(ConnectionCommand::Cancel(_)) => {}
@@ -150,6 +152,10 @@
                             }
                             break;
                         }
+                        Ok(None) if !self.reserve(buffer) => {
+                            self.log_fault(ConnectionFault::OutOfMemory);
+                            return self.on_unusable_answer().await;
+                        }
                         Ok(None) => {}
                         Err(error) => {
                             self.log_fault(error.into());
@@ -162,6 +168,12 @@
         self.on_connection_lost().await
     }
 
+    /// Reserves the memory of the incomplete answer. Returns whether there was enough.
+    fn reserve(&self, buffer: &BytesMut) -> bool {
+        let size = buffer.capacity() + self.parser.body_size();
+        self.handle.reserve(size)
+    }
+
     /// Reports the outcome of a response. `reusable` states whether both sides keep the connection open, `more_follows`
     /// whether further data was received after the response.
     async fn on_response(
--- a/crates/coordinator/src/backends/opensearch/fault.rs
+++ b/crates/coordinator/src/backends/opensearch/fault.rs
@@ -15,6 +15,8 @@
     TrailingBytes,
     #[error("answer to another search: its X-Opaque-Id differs")]
     ForeignAnswer,
+    #[error("incomplete answers of all servers together exceed their memory")]
+    OutOfMemory,
     #[error(transparent)]
     Message(#[from] MessageError),
 }
@@ -31,6 +33,9 @@
             ConnectionFault::StalledAnswer => {
                 "check whether the server was stopped while it wrote, and whether the network drops packets"
             }
+            ConnectionFault::OutOfMemory => {
+                "the servers' answers are too large for the memory in the settings, or servers stop in the middle of them"
+            }
             ConnectionFault::Message(_) => {
                 "the answer is not valid HTTP/1.1 or exceeds a limit: the address may belong to another service"
             }
--- a/crates/coordinator/src/configuration/limits.rs
+++ b/crates/coordinator/src/configuration/limits.rs
@@ -1,4 +1,4 @@
-//! Limits on connections, derived from the memory and descriptors that the deployment grants.
+//! Limits on connections and their buffers, derived from the memory and descriptors that the deployment grants.
 
 use super::deployment_file::LimitsJson;
 
@@ -10,6 +10,20 @@
 const CLIENT_MEMORY_KB: usize = 160;
 /// Minimum of the limits on client and server connections, however small the machine is.
 const MIN_CONNECTIONS: usize = 8;
+const BYTES_PER_MB: usize = 1024 * 1024;
+/// Memory in bytes of the program without connections: its code, its tables, the endpoint list, the admin API.
+const BASE_MEMORY: usize = 10 * BYTES_PER_MB;
+/// Memory in bytes of one connection without the bytes that it reserves: its task, and a request of usual size or one read
+/// from a server.
+const CONNECTION_MEMORY: usize = 8 * 1024;
+/// Share of the remaining memory that buffers may occupy; the allocator loses the rest to fragmentation.
+const BUFFER_SHARE: f64 = 0.8;
+/// Share of the buffers for what clients send.
+const CLIENT_BUFFER_SHARE: f64 = 0.5;
+/// Share of the buffers for what servers send; values that are kept for an answer have the same share.
+const SERVER_BUFFER_SHARE: f64 = 0.25;
+/// Minimum memory in bytes for all buffers, however small the machine is.
+const MIN_BUFFER_MEMORY: usize = BYTES_PER_MB;
 
 /// Limits on connections.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -24,6 +38,19 @@
     pub max_accepted_clients: usize,
     /// Maximum number of connections to servers.
     pub max_server_connections: usize,
+    /// Limits on the buffers of these connections.
+    pub buffers: BufferLimits,
+}
+
+/// Limits on the memory of buffers, in bytes. What each connection holds in any case is not part of them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BufferLimits {
+    /// What clients send: requests that are received, and requests that wait for their answers.
+    pub clients: usize,
+    /// What servers send, until it forms a complete answer.
+    pub servers: usize,
+    /// Values that servers gave for requests that are not answered yet.
+    pub values: usize,
 }
 
 impl ConnectionLimits {
@@ -46,13 +73,42 @@
     /// coordinator connects to every server of the fleet, and a connection that is closed to stay below the limit costs
     /// a handshake later.
     pub(super) fn new(memory_mb: u64, sockets: usize) -> ConnectionLimits {
-        let by_memory = (memory_mb as usize).saturating_mul(1024) / CLIENT_MEMORY_KB / 2;
+        let memory_mb = memory_mb as usize;
+        let by_memory = memory_mb.saturating_mul(1024) / CLIENT_MEMORY_KB / 2;
         let max_active_clients = (sockets / 2).min(by_memory).max(MIN_CONNECTIONS);
+        let max_accepted_clients = sockets / 2 + sockets / 16;
+        let max_server_connections = (sockets * 3 / 8).max(MIN_CONNECTIONS);
+        let connections = max_accepted_clients + max_server_connections;
         ConnectionLimits {
             idle_eviction_threshold: (sockets / 5).clamp(MIN_CONNECTIONS, max_active_clients),
             max_active_clients,
-            max_accepted_clients: sockets / 2 + sockets / 16,
-            max_server_connections: (sockets * 3 / 8).max(MIN_CONNECTIONS),
+            max_accepted_clients,
+            max_server_connections,
+            buffers: BufferLimits::new(memory_mb, connections),
         }
     }
 }
+
+impl BufferLimits {
+    /// Divides the memory that the program and its connections leave.
+    fn new(memory_mb: usize, connections: usize) -> BufferLimits {
+        let occupied = BASE_MEMORY.saturating_add(connections.saturating_mul(CONNECTION_MEMORY));
+        let left = memory_mb
+            .saturating_mul(BYTES_PER_MB)
+            .saturating_sub(occupied);
+        let buffers = (left as f64 * BUFFER_SHARE).max(MIN_BUFFER_MEMORY as f64);
+        BufferLimits {
+            clients: (buffers * CLIENT_BUFFER_SHARE) as usize,
+            servers: (buffers * SERVER_BUFFER_SHARE) as usize,
+            values: (buffers * SERVER_BUFFER_SHARE) as usize,
+        }
+    }
+
+    /// Returns the memory that the process may occupy, in bytes: the program, this number of connections, and all
+    /// buffers.
+    #[cfg(test)]
+    pub(super) fn peak_memory(&self, connections: usize) -> usize {
+        let buffers = (self.clients + self.servers + self.values) as f64 / BUFFER_SHARE;
+        BASE_MEMORY + connections * CONNECTION_MEMORY + buffers as usize
+    }
+}
--- a/crates/coordinator/src/configuration/tests.rs
+++ b/crates/coordinator/src/configuration/tests.rs
@@ -82,6 +82,27 @@
     }
 }
 
+/// Guards against a process that outgrows its memory: what all connections together may hold, in every state, fits into
+/// the memory in the settings, at the least memory with the most descriptors and the other way round.
+#[test]
+fn all_connections_and_buffers_together_fit_into_the_memory() {
+    for memory_mb in [16, 32, 64, 192] {
+        for sockets in [128, 256, 512, 1024] {
+            let limits = ConnectionLimits::new(memory_mb, sockets);
+            let connections = limits.max_accepted_clients + limits.max_server_connections;
+            let peak = limits.buffers.peak_memory(connections);
+            // With 16 MB, a process shares 32 MB and 512 descriptors with the one that replaces it.
+            if memory_mb > 16 || sockets <= 512 {
+                assert!(
+                    peak <= memory_mb as usize * 1024 * 1024,
+                    "{limits:?}: {peak} bytes"
+                );
+            }
+            assert!(limits.buffers.clients >= 512 * 1024, "{limits:?}");
+        }
+    }
+}
+
 /// Guards against a connection pool smaller than the fleet: deployments with 512 descriptors have up to 190 servers,
 /// and round robin over replicas uses all of them.
 #[test]
--- a/crates/coordinator/src/connections/discard.rs
+++ b/crates/coordinator/src/connections/discard.rs
@@ -103,6 +103,11 @@
     }
 }
 
+/// Discards what the socket has received, up to a bound. Returns without waiting.
+pub fn discard_received(stream: &TcpStream) {
+    discard_burst(stream);
+}
+
 /// Discards up to [`BURST`] bytes of what has arrived. The buffer is on the stack, so that connections hold no memory
 /// between two bursts.
 fn discard_burst(stream: &TcpStream) -> BurstEnd {
--- a/crates/coordinator/src/connections/handle.rs
+++ b/crates/coordinator/src/connections/handle.rs
@@ -1,7 +1,9 @@
 //! The interface between a connection task, which owns the socket, and the core.
 
+use super::socket::READ_SIZE;
 use crate::clock::Clock;
 use crate::contract::Contracts;
+use crate::memory::MemoryReservation;
 use crate::messages::{
     AttemptId, ConnectionEvent, ConnectionId, ConnectionReport, CoreMessage, OutboundAttempt,
     PartValue,
@@ -87,9 +89,18 @@
     pub report_names: Arc<[String]>,
     /// The channel for messages to the core.
     pub core: mpsc::Sender<CoreMessage>,
+    /// The memory of received bytes that form no complete answer yet.
+    pub memory: MemoryReservation,
 }
 
 impl ConnectionHandle {
+    /// Records that the received bytes occupy `size` bytes. Returns false if the memory for all servers' bytes is used up;
+    /// the connection then has to be closed.
+    pub fn reserve(&self, size: usize) -> bool {
+        // The first read of each connection is accounted for with the connection itself.
+        self.memory.resize(size.saturating_sub(READ_SIZE))
+    }
+
     /// Returns whether the server is draining or removed.
     pub fn is_draining(&self) -> bool {
         self.shared.is_draining()
--- a/crates/coordinator/src/connections/mod.rs
+++ b/crates/coordinator/src/connections/mod.rs
@@ -8,4 +8,5 @@
 pub mod discard;
 pub mod handle;
 pub mod pool;
+pub mod receive_buffer;
 pub mod socket;
--- a/crates/coordinator/src/connections/pool/mod.rs
+++ b/crates/coordinator/src/connections/pool/mod.rs
@@ -11,6 +11,7 @@
 use crate::configuration::{BackendKind, Config};
 use crate::connections::handle::ConnectionCommand;
 use crate::contract::Contracts;
+use crate::memory::MemoryPool;
 use crate::messages::{
     AttemptId, AttemptResult, ConnectionEvent, ConnectionId, ConnectionReport, CoreMessage,
     EndpointEntry, OutboundAttempt,
@@ -95,6 +96,8 @@
     contracts: Rc<Contracts>,
     clock: Clock,
     core: mpsc::Sender<CoreMessage>,
+    /// The memory for what servers send.
+    memory: MemoryPool,
     next_id: ConnectionId,
     servers: BTreeMap<ServerId, Server>,
     connections: BTreeMap<ConnectionId, Connection>,
@@ -118,6 +121,7 @@
             contracts,
             clock,
             core,
+            memory: MemoryPool::new(config.limits.buffers.servers),
             next_id: ConnectionId::default(),
             servers: BTreeMap::new(),
             connections: BTreeMap::new(),
--- a/crates/coordinator/src/connections/pool/selection.rs
+++ b/crates/coordinator/src/connections/pool/selection.rs
@@ -132,6 +132,7 @@
             clock: self.clock.clone(),
             report_names: self.report_names.clone(),
             core: self.core.clone(),
+            memory: self.memory.empty_reservation(),
         };
         backends::spawn(self.backend, handle);
         let connection = Connection::dialing(server, address, commands, shared, now);
--- a/crates/coordinator/src/connections/pool/tests.rs
+++ b/crates/coordinator/src/connections/pool/tests.rs
@@ -63,6 +63,7 @@
         deadline: clock.now() + 9.0,
         contracts: None,
         client: Default::default(),
+        memory: None,
     }
 }
 
--- a/crates/coordinator/src/fronts/exchange.rs
+++ b/crates/coordinator/src/fronts/exchange.rs
@@ -1,11 +1,14 @@
 //! Submits requests to the core and waits for their answers, while watching for the client's disconnect.
 
+use super::client_connections::ClientConnection;
 use super::front::Front;
+use crate::connections::receive_buffer::ReceiveBuffer;
 use crate::messages::{Answer, ClientLiveness, ContractsInForce, Request};
 use crate::pipeline::request_queue;
-use bytes::BytesMut;
-use tokio::io::AsyncReadExt;
+use cairnroad_types::Seconds;
+use std::rc::Rc;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 
 /// Maximum number of bytes buffered from a client that pipelines while its answer is pending. Clients usually send one
 /// request at a time.
@@ -23,9 +26,11 @@
     /// The client's connection, which is read for pipelined bytes and a disconnect.
     pub stream: &'a mut TcpStream,
     /// The buffer for pipelined bytes.
-    pub buffer: &'a mut BytesMut,
+    pub buffer: &'a mut ReceiveBuffer,
     /// Set once the client has pipelined more than the buffer holds; the excess bytes are discarded.
     pub overrun: &'a mut bool,
+    /// The connection's slot, which accounts for its memory.
+    pub connection: &'a ClientConnection,
     /// Whether the client is known to be connected.
     pub client: &'a ClientLiveness,
     /// The interface descriptions that were in force when the request arrived.
@@ -40,13 +45,12 @@
         requests: Vec<Request>,
     ) -> Result<Vec<Answer>, ClientDisconnected> {
         let retry_after = self.front.retry_after();
-        let receivers = requests.into_iter().map(|mut request| {
-            request.contracts = self.contracts.clone();
-            request.client = self.client.clone();
-            request.deadline = self.front.connections.cap_deadline(request.deadline);
-            request_queue::submit(&self.front.request_queue, request, retry_after)
-        });
-        let receivers: Vec<_> = receivers.collect();
+        // The message that the requests were parsed from is gone.
+        let _ = self.connection.try_reserve(self.buffer.allocated());
+        let receivers: Vec<_> = requests
+            .into_iter()
+            .map(|request| self.submit_one(request, retry_after))
+            .collect();
         let answers = async {
             let mut answers = Vec::with_capacity(receivers.len());
             for receiver in receivers {
@@ -61,7 +65,8 @@
         tokio::pin!(answers);
         let discards = &self.front.connections.discards;
         loop {
-            *self.overrun |= self.buffer.len() >= MAX_PIPELINED_BYTES;
+            *self.overrun |= self.buffer.bytes.len() >= MAX_PIPELINED_BYTES
+                || !self.connection.try_reserve(self.buffer.size_for_read());
             if *self.overrun {
                 // The bytes are discarded but still read, because a disconnect is only seen behind them.
                 let disconnect =
@@ -75,11 +80,24 @@
             tokio::select! {
                 biased;
                 answers = &mut answers => return Ok(answers),
-                read = self.stream.read_buf(self.buffer) => match read {
+                read = self.buffer.receive(self.stream) => match read {
                     Ok(0) | Err(_) => return Err(ClientDisconnected),
                     Ok(_) => {}
                 },
             }
         }
     }
+
+    /// Queues one request for the core. Without enough memory for its attempts, it is rejected at once.
+    fn submit_one(&self, mut request: Request, retry_after: Seconds) -> oneshot::Receiver<Answer> {
+        let connections = &self.front.connections;
+        match connections.reserve_for_request(request.size()) {
+            None => return request_queue::rejection(retry_after),
+            Some(memory) => request.memory = Some(Rc::new(memory)),
+        }
+        request.contracts = self.contracts.clone();
+        request.client = self.client.clone();
+        request.deadline = connections.cap_deadline(request.deadline);
+        request_queue::submit(&self.front.request_queue, request, retry_after)
+    }
 }
--- a/crates/coordinator/src/fronts/opensearch/mod.rs
+++ b/crates/coordinator/src/fronts/opensearch/mod.rs
@@ -58,7 +58,7 @@
 /// Answers one request. `arrived_at` is the time from which its deadline and `took` count.
 pub async fn answer(
     front: &Front,
-    request: &http::Request,
+    request: http::Request,
     arrived_at: Time,
     exchange: &mut Exchange<'_>,
 ) -> Result<Reply, ClientDisconnected> {
@@ -107,7 +107,7 @@
 
 async fn answer_search(
     front: &Front,
-    request: &http::Request,
+    request: http::Request,
     parameters: SearchParameters,
     arrived_at: Time,
     exchange: &mut Exchange<'_>,
@@ -120,6 +120,7 @@
         Ok(search) => search,
         Err(error) => return Ok(error.reply()),
     };
+    drop(request);
     let core_request = core_request(front, &search, arrived_at);
     let answers = exchange.submit(vec![core_request]).await?;
     let took = front.clock.now() - arrived_at;
@@ -153,5 +154,6 @@
         payload: Payload::Query(search.body.as_str().into()),
         contracts: None,
         client: ClientLiveness::default(),
+        memory: None,
     }
 }
--- a/crates/coordinator/src/fronts/opensearch/multi_search.rs
+++ b/crates/coordinator/src/fronts/opensearch/multi_search.rs
@@ -19,7 +19,7 @@
 /// Submits all searches together and returns their responses in the order of the request.
 pub async fn answer(
     front: &Front,
-    request: &http::Request,
+    request: http::Request,
     parameters: SearchParameters,
     arrived_at: Time,
     exchange: &mut Exchange<'_>,
@@ -32,6 +32,7 @@
         Ok(searches) => searches,
         Err(error) => return Ok(error.reply()),
     };
+    drop(request);
     let requests = searches
         .iter()
         .flatten()
--- a/crates/coordinator/src/fronts/platform.rs
+++ b/crates/coordinator/src/fronts/platform.rs
@@ -92,7 +92,7 @@
 /// Answers one request. `arrived_at` is the time from which its deadline counts.
 pub async fn answer(
     front: &Front,
-    request: &http::Request,
+    request: http::Request,
     arrived_at: Time,
     exchange: &mut Exchange<'_>,
 ) -> Result<Reply, ClientDisconnected> {
@@ -107,9 +107,10 @@
     }
     let parsed = parse_request(
         &front.served_configuration().deployment,
-        request,
+        &request,
         arrived_at,
     );
+    drop(request);
     let core_request = match parsed {
         Ok(core_request) => core_request,
         Err(error) => return Ok(error_reply(400, &error.to_string())),
@@ -165,6 +166,7 @@
         payload: Payload::Plain(body.q.into()),
         contracts: None,
         client: ClientLiveness::default(),
+        memory: None,
     })
 }
 
--- a/crates/coordinator/src/fronts/session.rs
+++ b/crates/coordinator/src/fronts/session.rs
@@ -8,10 +8,10 @@
 use super::front::{Front, FrontKind};
 use super::reply::Reply;
 use super::{health, opensearch, platform};
+use crate::connections::receive_buffer::ReceiveBuffer;
 use crate::contract::SampledRequest;
 use crate::http;
 use crate::messages::{ClientLiveness, ContractsInForce, ServingPhase};
-use bytes::BytesMut;
 use cairnroad_contract::enforcement::Rejection;
 use cairnroad_types::Time;
 use lingering_close::{IDLE_LINGER_TIMEOUT, LINGER_TIMEOUT};
@@ -35,7 +35,7 @@
     let _ = stream.set_nodelay(true);
     let mut session = ClientSession {
         front,
-        buffer: BytesMut::new(),
+        buffer: ReceiveBuffer::default(),
         parser: http::RequestParser::default(),
         overrun: false,
         client: ClientLiveness::default(),
@@ -51,7 +51,7 @@
 struct ClientSession {
     front: Rc<Front>,
     /// Bytes that were received and not yet parsed.
-    buffer: BytesMut,
+    buffer: ReceiveBuffer,
     /// The part of the next request that was parsed.
     parser: http::RequestParser,
     /// Whether the client pipelined more than the buffer holds; the excess bytes were discarded.
@@ -81,18 +81,19 @@
         };
         let arrived_at = self.front.clock.earliest_arrival();
         let received_at = Instant::now();
-        let overloaded = self.front.connections.busy_count() > self.front.limits.max_active_clients;
-        let Ok(reply) = self.answer(&request, arrived_at, overloaded).await else {
+        let overloaded =
+            self.front.connections.in_flight_count() > self.front.limits.max_active_clients;
+        let close_requested = request.close_requested;
+        let Ok(reply) = self.answer(request, arrived_at, overloaded).await else {
             return ControlFlow::Break(());
         };
-        let close =
-            request.close_requested || overloaded || is_stopping(*self.front.phase.borrow());
+        let close = close_requested || overloaded || is_stopping(*self.front.phase.borrow());
         if !self.write(reply, close).await {
             return ControlFlow::Break(());
         }
         self.connection.answer_sent(self.front.clock.now());
         if close {
-            return self.close(request.close_requested).await;
+            return self.close(close_requested).await;
         }
         self.limit_pipelining(received_at).await
     }
@@ -101,12 +102,12 @@
     /// the core.
     async fn answer(
         &mut self,
-        request: &http::Request,
+        request: http::Request,
         arrived_at: Time,
         overloaded: bool,
     ) -> Result<Reply, ClientDisconnected> {
         let contracts = self.front.contracts.current();
-        let contract_check = self.check_contract(&contracts, request);
+        let contract_check = self.check_contract(&contracts, &request);
         let path = request.target.split('?').next().unwrap_or("");
         let reply = if path == health::PATH {
             health::reply(&self.front, &request.method)
@@ -149,7 +150,7 @@
     /// Answers a request with the front's protocol.
     async fn forward(
         &mut self,
-        request: &http::Request,
+        request: http::Request,
         arrived_at: Time,
         contracts: ContractsInForce,
     ) -> Result<Reply, ClientDisconnected> {
@@ -159,6 +160,7 @@
             stream: &mut self.stream,
             buffer: &mut self.buffer,
             overrun: &mut self.overrun,
+            connection: &self.connection,
             client: &self.client,
             contracts,
         };
@@ -183,14 +185,23 @@
         };
         let _ = self.write(reply, true).await;
         self.connection.answer_sent(self.front.clock.now());
-        self.linger(LINGER_TIMEOUT).await;
+        match error {
+            http::MessageError::Overloaded => self.close_at_once().await,
+            _ => self.linger(LINGER_TIMEOUT).await,
+        }
         ControlFlow::Break(())
     }
 
+    /// Reserves the memory that the connection's buffers occupy now, which is less than before.
+    fn reserve_buffers(&self) {
+        // Shrinking a reservation never fails.
+        let _ = self.connection.try_reserve(self.buffer.allocated());
+    }
+
     /// Rejects the requests left in the buffer once a client has pipelined for too long.
     async fn limit_pipelining(&mut self, received_at: Instant) -> ControlFlow<()> {
         // Line breaks after a body are not a request.
-        let has_more = self.buffer.iter().any(|byte| !b"\r\n".contains(byte));
+        let has_more = self.buffer.bytes.iter().any(|byte| !b"\r\n".contains(byte));
         self.pipelining_since = self
             .pipelining_since
             .filter(|_| has_more)
@@ -213,7 +224,7 @@
     /// Closes the connection after its last response. A client that did not request the close may have sent more, and
     /// closing with unread bytes would reset the connection before the client has read the response.
     async fn close(&mut self, close_requested: bool) -> ControlFlow<()> {
-        if !close_requested || !self.buffer.is_empty() {
+        if !close_requested || !self.buffer.bytes.is_empty() {
             self.linger(LINGER_TIMEOUT).await;
         }
         ControlFlow::Break(())
@@ -228,6 +239,7 @@
             close,
             &reply.body,
         );
+        drop(reply);
         let write = tokio::time::timeout(WRITE_TIMEOUT, self.stream.write_all(&bytes));
         matches!(write.await, Ok(Ok(())))
     }
--- a/crates/coordinator/src/fronts/session/lingering_close.rs
+++ b/crates/coordinator/src/fronts/session/lingering_close.rs
@@ -1,6 +1,8 @@
 //! Closes a connection without a reset.
 
 use super::ClientSession;
+use crate::connections::discard;
+use crate::http::RequestParser;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 
@@ -12,10 +14,25 @@
 pub const IDLE_LINGER_TIMEOUT: Duration = Duration::from_millis(250);
 
 impl ClientSession {
+    /// Gives up all received bytes, of which none is served any more.
+    fn release_buffers(&mut self) {
+        self.buffer.release();
+        self.parser = RequestParser::default();
+        self.reserve_buffers();
+    }
+
+    /// Closes a connection that is shed: its slot and its memory are needed now. What the client has sent is discarded, so
+    /// that no reset overtakes the response.
+    pub async fn close_at_once(&mut self) {
+        let _ = self.stream.shutdown().await;
+        discard::discard_received(&self.stream);
+    }
+
     /// Half-closes the connection and discards incoming bytes until the client closes, the slot is needed or the
     /// time-out passes. No request read here is served.
     pub async fn linger(&mut self, timeout: Duration) {
         let _ = self.stream.shutdown().await;
+        self.release_buffers();
         self.connection.begin_linger(self.front.clock.now());
         let discards = &self.front.connections.discards;
         tokio::select! {
--- a/crates/coordinator/src/fronts/session/next_request.rs
+++ b/crates/coordinator/src/fronts/session/next_request.rs
@@ -1,12 +1,14 @@
 //! Waits for the next request of a connection, or for an event that ends the wait.
 
 use super::{is_stopping, ClientSession};
-use crate::connections::socket::{self, READ_SIZE};
+use crate::clock::Clock;
+use crate::connections::receive_buffer::ReceiveBuffer;
+use crate::fronts::client_connections::ClientConnection;
 use crate::http;
 use crate::messages::ServingPhase;
-use bytes::BytesMut;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -63,21 +65,20 @@
                 true => idle_deadline,
                 false => *first_byte_at.get_or_insert_with(Instant::now) + REQUEST_READ_TIMEOUT,
             });
-            self.buffer.reserve(READ_SIZE);
             // `None` ends the wait of an idle connection, an error the wait for the rest of a request.
             let error = tokio::select! {
                 biased;
-                read = self.stream.read_buf(&mut self.buffer) => match read {
+                received = receive(&self.stream, &mut self.buffer, &mut self.parser, &self.connection, &self.front.clock) => match received {
                     Ok(0) | Err(_) => return Ok(NextRequest::ClientDisconnected),
                     Ok(_) => continue,
                 },
                 () = wait_for_idle_close(&mut idle_phase), if idle => None,
                 () = wait_for_partial_rejection(&mut final_phase), if !idle => Some(http::MessageError::ShuttingDown),
                 () = tokio::time::sleep_until(deadline) => (!idle).then_some(http::MessageError::ReceiveTimeout),
-                () = self.connection.wait_for_eviction(), if idle => None,
+                () = self.connection.wait_for_eviction() => (!idle).then_some(http::MessageError::Overloaded),
             };
             // A request that has already arrived is still served; later bytes cross the close.
-            let received_more = socket::read_available(&self.stream, &mut self.buffer);
+            let received_more = self.receive_available();
             if let Some(request) = self.parse_request()? {
                 return Ok(NextRequest::Received(request));
             }
@@ -89,9 +90,23 @@
         }
     }
 
+    /// Reads bytes that have already arrived, if there is memory for them. Returns whether any were read.
+    fn receive_available(&mut self) -> bool {
+        let size = self.buffer.size_for_read() + self.parser.size_after_parsing(&self.buffer.bytes);
+        let has_read = self.connection.try_reserve(size)
+            && matches!(self.buffer.read(&self.stream), Ok(bytes) if bytes > 0);
+        has_read && self.try_reserve_parsing()
+    }
+
+    /// Reserves the memory for parsing what was received. Returns whether there was enough.
+    fn try_reserve_parsing(&mut self) -> bool {
+        let size = self.buffer.allocated() + self.parser.size_after_parsing(&self.buffer.bytes);
+        self.connection.try_reserve(size)
+    }
+
     /// Removes a complete request from the front of the buffer; `None` if there is none.
     fn parse_request(&mut self) -> Result<Option<http::Request>, http::MessageError> {
-        let request = self.parser.parse(&mut self.buffer)?;
+        let request = self.parser.parse(&mut self.buffer.bytes)?;
         if request.is_some() {
             self.connection.request_received(self.front.clock.now());
         }
@@ -106,19 +121,35 @@
 
     /// Marks the connection as idle if nothing of a request was received, or else as busy. Returns whether it is idle.
     fn update_idle_state(&mut self) -> bool {
-        let idle = self.buffer.is_empty() && !self.parser.has_begun();
+        let idle = self.buffer.bytes.is_empty() && !self.parser.has_begun();
         if idle {
-            if self.buffer.capacity() > READ_SIZE {
-                self.buffer = BytesMut::new();
-            }
+            self.buffer.release();
+            self.reserve_buffers();
             self.connection.mark_idle(self.front.clock.now());
         } else {
-            self.connection.mark_busy();
+            self.connection.mark_receiving(self.front.clock.now());
         }
         idle
     }
 }
 
+/// Waits for bytes of the client and reads them, once there is memory for them and for what is parsed from them.
+async fn receive(
+    stream: &TcpStream,
+    buffer: &mut ReceiveBuffer,
+    parser: &mut http::RequestParser,
+    connection: &ClientConnection,
+    clock: &Clock,
+) -> std::io::Result<usize> {
+    stream.readable().await?;
+    let size = buffer.size_for_read() + parser.size_after_parsing(&buffer.bytes);
+    connection.reserve(size, clock).await;
+    let received = buffer.receive(stream).await?;
+    let size = buffer.allocated() + parser.size_after_parsing(&buffer.bytes);
+    connection.reserve(size, clock).await;
+    Ok(received)
+}
+
 /// Waits until idle connections are to be closed because of a drain or a shutdown. The delay is the same for
 /// connections accepted after its begin, so that their first request has time to arrive.
 async fn wait_for_idle_close(phase: &mut watch::Receiver<ServingPhase>) {
--- a/crates/coordinator/src/http/body.rs
+++ b/crates/coordinator/src/http/body.rs
@@ -64,8 +64,32 @@
 pub(super) struct BodyDecoder {
     framing: FramingState,
     max_body: usize,
-    /// The content that has been decoded.
+    content: Content,
+}
+
+/// The content of a body that has been decoded. Its allocation grows with what arrives, not with what the sender
+/// announces, and never exceeds the largest content that the framing permits.
+#[derive(Debug)]
+struct Content {
     bytes: Vec<u8>,
+    max_length: usize,
+}
+
+impl Content {
+    /// Returns the size of the allocation after `additional` bytes.
+    fn size_after(&self, additional: usize) -> usize {
+        let needed = self.bytes.len() + additional;
+        if needed <= self.bytes.capacity() {
+            return self.bytes.capacity();
+        }
+        needed.max((2 * needed).min(self.max_length))
+    }
+
+    fn append(&mut self, received: &[u8]) {
+        let size = self.size_after(received.len());
+        self.bytes.reserve_exact(size - self.bytes.len());
+        self.bytes.extend_from_slice(received);
+    }
 }
 
 /// The position in a body.
@@ -81,6 +105,10 @@
 impl BodyDecoder {
     /// Creates a decoder of a body with at most `max_body` bytes of content.
     pub(super) fn new(framing: Framing, max_body: usize) -> Self {
+        let max_length = match framing {
+            Framing::Length(length) => length,
+            Framing::Chunked | Framing::Unspecified => max_body,
+        };
         let framing = match framing {
             Framing::Length(length) => FramingState::Length(length),
             Framing::Chunked => FramingState::Chunked(ChunkDecoder::new(max_body)),
@@ -89,7 +117,10 @@
         BodyDecoder {
             framing,
             max_body,
-            bytes: Vec::new(),
+            content: Content {
+                bytes: Vec::new(),
+                max_length,
+            },
         }
     }
 
@@ -103,17 +134,17 @@
         match &mut self.framing {
             FramingState::Length(missing) => {
                 let received = input.len().min(*missing);
-                self.bytes.extend_from_slice(&input[..received]);
+                self.content.append(&input[..received]);
                 input.advance(received);
                 *missing -= received;
                 Ok(*missing == 0)
             }
-            FramingState::Chunked(decoder) => decoder.decode(input, &mut self.bytes),
-            FramingState::UntilEnd if input.len() > self.max_body - self.bytes.len() => {
+            FramingState::Chunked(decoder) => decoder.decode(input, &mut self.content),
+            FramingState::UntilEnd if input.len() > self.max_body - self.content.bytes.len() => {
                 Err(MessageError::BodyTooLarge)
             }
             FramingState::UntilEnd => {
-                self.bytes.extend_from_slice(input);
+                self.content.append(input);
                 input.clear();
                 Ok(at_end)
             }
@@ -122,12 +153,22 @@
 
     /// Returns the content that has been decoded.
     pub(super) fn bytes(&self) -> &[u8] {
-        &self.bytes
+        &self.content.bytes
+    }
+
+    /// Returns the size of the content's allocation once `additional` bytes of the body were decoded.
+    pub(super) fn size_after(&self, additional: usize) -> usize {
+        match self.framing {
+            FramingState::Length(missing) => self.content.size_after(additional.min(missing)),
+            FramingState::Chunked(_) | FramingState::UntilEnd => {
+                self.content.size_after(additional)
+            }
+        }
     }
 
     /// Returns the content of the complete body.
     pub(super) fn into_bytes(self) -> Vec<u8> {
-        self.bytes
+        self.content.bytes
     }
 }
 
@@ -177,7 +218,7 @@
     fn decode(
         &mut self,
         input: &mut BytesMut,
-        content: &mut Vec<u8>,
+        content: &mut Content,
     ) -> Result<bool, MessageError> {
         let mut used = 0;
         while !matches!(self.position, ChunkPosition::End) {
@@ -197,7 +238,7 @@
     }
 
     /// Decodes the front of `input` up to the next position.
-    fn step(&mut self, input: &[u8], content: &mut Vec<u8>) -> Result<ChunkStep, MessageError> {
+    fn step(&mut self, input: &[u8], content: &mut Content) -> Result<ChunkStep, MessageError> {
         match &mut self.position {
             ChunkPosition::SizeLine(scanned) => {
                 let line_feed = input[*scanned..].iter().position(|&byte| byte == b'\n');
@@ -212,7 +253,7 @@
                 let size = chunk_size(&mut &input[..line_length]).map_err(|_| MALFORMED_CHUNK)?;
                 self.position = match size as usize {
                     0 => ChunkPosition::Trailers(HeadScanner::default()),
-                    size if size > self.max_body - content.len() => {
+                    size if size > self.max_body - content.bytes.len() => {
                         return Err(MessageError::BodyTooLarge)
                     }
                     size => ChunkPosition::Content(size),
@@ -222,7 +263,7 @@
             ChunkPosition::Content(_) if input.is_empty() => Ok(ChunkStep::Incomplete),
             ChunkPosition::Content(missing) => {
                 let received = input.len().min(*missing);
-                content.extend_from_slice(&input[..received]);
+                content.append(&input[..received]);
                 *missing -= received;
                 if *missing == 0 {
                     self.position = ChunkPosition::ContentEnd;
--- a/crates/coordinator/src/http/error.rs
+++ b/crates/coordinator/src/http/error.rs
@@ -16,6 +16,8 @@
     ReceiveTimeout,
     /// The message was not completely received when the program had to stop.
     ShuttingDown,
+    /// The memory or the connection slots are needed for others, which have waited less or made more progress.
+    Overloaded,
     /// The client pipelined more requests than are buffered; the rest was discarded.
     ExcessPipelining,
 }
@@ -29,7 +31,7 @@
             MessageError::BodyTooLarge => 413,
             MessageError::ExcessPipelining => 429,
             MessageError::HeadTooLarge => 431,
-            MessageError::ShuttingDown => 503,
+            MessageError::ShuttingDown | MessageError::Overloaded => 503,
         }
     }
 
@@ -37,7 +39,7 @@
     pub fn is_transient(self) -> bool {
         matches!(
             self,
-            MessageError::ShuttingDown | MessageError::ExcessPipelining
+            MessageError::ShuttingDown | MessageError::Overloaded | MessageError::ExcessPipelining
         )
     }
 
@@ -51,6 +53,7 @@
             MessageError::ShuttingDown => {
                 "this process ends: send the request again on a new connection"
             }
+            MessageError::Overloaded => "too many requests are being received",
             MessageError::ExcessPipelining => "one request at a time: the rest is refused",
         }
     }
--- a/crates/coordinator/src/http/head.rs
+++ b/crates/coordinator/src/http/head.rs
@@ -20,7 +20,21 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fields(Vec<(String, String)>);
 
+/// Memory of a field besides its texts, in bytes: its entry, in a list that grows by doubling, and two allocations.
+const FIELD_OVERHEAD: usize = 2 * std::mem::size_of::<(String, String)>() + 64;
+
+/// Returns an upper bound of the memory that a head of `length` bytes with this many lines occupies once it is parsed.
+pub(super) fn parsed_size(length: usize, lines: usize) -> usize {
+    length + FIELD_OVERHEAD * lines.min(MAX_FIELDS)
+}
+
 impl Fields {
+    /// Returns the memory that the fields occupy, in bytes.
+    pub(super) fn size(&self) -> usize {
+        let texts = self.0.iter().map(|(name, value)| name.len() + value.len());
+        parsed_size(texts.sum(), self.0.len())
+    }
+
     /// Returns all names and values as received.
     pub fn pairs(&self) -> &[(String, String)] {
         &self.0
--- a/crates/coordinator/src/http/request.rs
+++ b/crates/coordinator/src/http/request.rs
@@ -3,7 +3,8 @@
 use super::body::{framing, BodyDecoder, Framing};
 use super::error::MessageError;
 use super::head::{
-    fields, leading_empty_lines, request_line, strip_empty_line, Fields, HeadScanner, RequestLine,
+    fields, leading_empty_lines, parsed_size, request_line, strip_empty_line, Fields, HeadScanner,
+    RequestLine,
 };
 use super::{Parsed, MAX_BODY, MAX_HEAD};
 use bytes::{Buf, BytesMut};
@@ -57,6 +58,9 @@
     /// Number of bytes of the empty lines before the request, which have been removed from the buffer.
     empty_line_bytes: usize,
     scanner: HeadScanner,
+    /// Number of line feeds among the first `counted_bytes` bytes of the buffer.
+    line_count: usize,
+    counted_bytes: usize,
 }
 
 impl RequestParser {
@@ -84,6 +88,17 @@
         }
     }
 
+    /// Returns an upper bound of the memory that the request occupies, in bytes, once the bytes in `buffer` are parsed.
+    pub fn size_after_parsing(&mut self, buffer: &BytesMut) -> usize {
+        match &mut self.state {
+            // What follows the head becomes the body.
+            RequestState::Head(reader) => parsed_size(2 * buffer.len(), reader.count_lines(buffer)),
+            RequestState::Body(partial) => {
+                partial.fields.size() + partial.body.size_after(buffer.len())
+            }
+        }
+    }
+
     /// Returns whether bytes of an incomplete request have been removed from the buffer.
     pub fn has_begun(&self) -> bool {
         match &self.state {
@@ -112,8 +127,17 @@
         Ok(Some(partial))
     }
 
+    /// Returns the number of line feeds in the buffer. Bytes that were counted before are not counted again.
+    fn count_lines(&mut self, buffer: &BytesMut) -> usize {
+        let new = buffer.get(self.counted_bytes..).unwrap_or_default();
+        self.line_count += new.iter().filter(|&&byte| byte == b'\n').count();
+        self.counted_bytes = buffer.len();
+        self.line_count
+    }
+
     fn remove_empty_lines(&mut self, buffer: &mut BytesMut) {
         let length = leading_empty_lines(buffer);
+        self.counted_bytes = self.counted_bytes.saturating_sub(length);
         self.empty_line_bytes = self.empty_line_bytes.saturating_add(length);
         buffer.advance(length);
     }
--- a/crates/coordinator/src/http/response.rs
+++ b/crates/coordinator/src/http/response.rs
@@ -85,6 +85,14 @@
         }
     }
 
+    /// Returns the memory that the decoded part of the body occupies, in bytes.
+    pub fn body_size(&self) -> usize {
+        match &self.state {
+            ResponseState::Head(_) => 0,
+            ResponseState::Body(partial) => partial.body.size_after(0),
+        }
+    }
+
     /// Returns the received part of the body of an incomplete response; `None` until its head is complete.
     pub fn partial_body(&self) -> Option<&[u8]> {
         match &self.state {
--- a/crates/coordinator/src/main.rs
+++ b/crates/coordinator/src/main.rs
@@ -18,6 +18,7 @@
 mod errors_page;
 mod fronts;
 mod http;
+mod memory;
 mod messages;
 mod observability;
 #[cfg(test)]
--- a/crates/coordinator/src/messages/answer.rs
+++ b/crates/coordinator/src/messages/answer.rs
@@ -13,6 +13,16 @@
     Hits(Arc<str>),
 }
 
+impl PartValue {
+    /// Returns the size of the value, in bytes.
+    pub fn size(&self) -> usize {
+        match self {
+            PartValue::Plain(bytes) => bytes.len(),
+            PartValue::Hits(text) => text.len(),
+        }
+    }
+}
+
 /// The reason why a part has no value. The texts are part of the answers of the query API.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum PartFailure {
--- a/crates/coordinator/src/messages/attempt.rs
+++ b/crates/coordinator/src/messages/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempts at a part: their ids, the form in which the core sends them, and their results.
 
 use super::{ClientLiveness, ContractsInForce, IdempotencyKey, PartValue, Payload};
+use crate::memory::MemoryReservation;
 use cairnroad_types::{Outcome, RequestId, Time};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -42,6 +43,12 @@
     pub contracts: ContractsInForce,
     /// Whether the client of the request is known to be connected.
     pub client: ClientLiveness,
+    /// The reservation of the request's payload, which is kept for as long as an attempt holds the payload.
+    #[expect(
+        dead_code,
+        reason = "it is held for its drop, which releases the memory"
+    )]
+    pub memory: Option<Rc<MemoryReservation>>,
 }
 
 impl OutboundAttempt {
--- a/crates/coordinator/src/messages/request.rs
+++ b/crates/coordinator/src/messages/request.rs
@@ -1,8 +1,10 @@
 //! Requests as the fronts submit them to the core.
 
 use super::{Answer, ClientLiveness, IdempotencyKey};
+use crate::memory::MemoryReservation;
 use cairnroad_contract::enforcement::ActiveContracts;
 use cairnroad_types::{Seconds, Time};
+use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
@@ -59,6 +61,17 @@
     pub contracts: ContractsInForce,
     /// Whether the client is known to be connected.
     pub client: ClientLiveness,
+    /// The memory that the payload occupies, with its copies in the attempts; `None` until the request is submitted.
+    pub memory: Option<Rc<MemoryReservation>>,
+}
+
+impl Request {
+    /// Returns the memory that the payload occupies, in bytes: the text itself, the front's copy of it, and the copy in
+    /// the frame of each part.
+    pub fn size(&self) -> usize {
+        let copies = self.parts.len() + 2;
+        self.payload.as_str().len().saturating_mul(copies)
+    }
 }
 
 /// A request and the channel for its final answer.
--- a/crates/coordinator/src/pipeline/core/tests.rs
+++ b/crates/coordinator/src/pipeline/core/tests.rs
@@ -126,6 +126,7 @@
         payload: Payload::Plain("t".into()),
         contracts: None,
         client: Default::default(),
+        memory: None,
     }
 }
 
--- a/crates/coordinator/src/pipeline/request_queue.rs
+++ b/crates/coordinator/src/pipeline/request_queue.rs
@@ -33,12 +33,22 @@
 ) -> oneshot::Receiver<Answer> {
     let (reply, answer) = oneshot::channel();
     if let Err(rejected) = core.try_send(ClientRequest { request, reply }) {
-        let client = rejected.into_inner();
-        // Sending can't fail, because this function still owns the receiving end.
-        let _ = client.reply.send(Answer::Rejected {
-            retry_after,
-            over_capacity: true,
-        });
+        reject(rejected.into_inner().reply, retry_after);
     }
     answer
 }
+
+/// Returns the channel of a request that is rejected because the coordinator has no capacity for it.
+pub fn rejection(retry_after: Seconds) -> oneshot::Receiver<Answer> {
+    let (reply, answer) = oneshot::channel();
+    reject(reply, retry_after);
+    answer
+}
+
+fn reject(reply: oneshot::Sender<Answer>, retry_after: Seconds) {
+    // Sending fails only if nobody waits for the answer any more.
+    let _ = reply.send(Answer::Rejected {
+        retry_after,
+        over_capacity: true,
+    });
+}
--- a/crates/coordinator/src/pipeline/request_table.rs
+++ b/crates/coordinator/src/pipeline/request_table.rs
@@ -4,6 +4,7 @@
 mod recent_names;
 
 use crate::configuration::Config;
+use crate::memory::MemoryPool;
 use crate::messages::{AttemptId, AttemptResult, ClientRequest, OutboundAttempt, PartSpec};
 use cairnroad_settings::Deployment;
 use cairnroad_types::{Class, Event, Idempotency, RequestId, Seconds, Time};
@@ -59,6 +60,8 @@
     /// Retry windows by class slot, in seconds; `None` for a class without a limit (see [`retry_window`]).
     retry_windows: Vec<Option<Seconds>>,
     timeout_margin: Seconds,
+    /// The memory for values of open requests.
+    value_memory: MemoryPool,
     /// Attempts of closed requests that have not been withdrawn from the connection pool yet.
     orphaned_attempts: Vec<AttemptId>,
     recent_external_ids: RecentExternalIds,
@@ -75,6 +78,7 @@
             class_names: Vec::new(),
             retry_windows: Vec::new(),
             timeout_margin: TIMEOUT_MARGIN,
+            value_memory: MemoryPool::new(config.limits.buffers.values),
             orphaned_attempts: Vec::new(),
             recent_external_ids: RecentExternalIds::default(),
         };
@@ -147,7 +151,9 @@
             self.parts.insert(*part, open);
         }
         let part_ids = parts.iter().map(|(part, _)| *part).collect();
-        self.requests.insert(id, OpenRequest::new(client, part_ids));
+        let value_memory = self.value_memory.empty_reservation();
+        let open = OpenRequest::new(client, part_ids, value_memory);
+        self.requests.insert(id, open);
         (id, parts)
     }
 
@@ -251,6 +257,7 @@
             deadline,
             contracts: request.contracts.clone(),
             client: request.client.clone(),
+            memory: request.memory.clone(),
         })
     }
 }
--- a/crates/coordinator/src/pipeline/request_table/open_request.rs
+++ b/crates/coordinator/src/pipeline/request_table/open_request.rs
@@ -1,5 +1,6 @@
 //! An open request and the results of its parts.
 
+use crate::memory::MemoryReservation;
 use crate::messages::{
     Answer, AttemptId, AttemptResult, ClientRequest, PartAnswer, PartFailure, PartValue, Request,
 };
@@ -25,13 +26,19 @@
     results: BTreeMap<RequestId, PartResult>,
     has_retracted_value: bool,
     any_attempt_ended: bool,
+    /// The memory of the values in `results`.
+    value_memory: MemoryReservation,
     /// Whether the router takes the client for connected.
     is_client_confirmed: bool,
 }
 
 impl OpenRequest {
     /// Creates an open request for which no attempt has been sent yet.
-    pub fn new(client: ClientRequest, part_ids: Vec<RequestId>) -> Self {
+    pub fn new(
+        client: ClientRequest,
+        part_ids: Vec<RequestId>,
+        value_memory: MemoryReservation,
+    ) -> Self {
         OpenRequest {
             request: client.request,
             reply: client.reply,
@@ -39,6 +46,7 @@
             results: BTreeMap::new(),
             has_retracted_value: false,
             any_attempt_ended: false,
+            value_memory,
             is_client_confirmed: true,
         }
     }
@@ -93,16 +101,23 @@
     }
 
     /// Records the result of an attempt. The first value of a part is kept; until there is one, the latest failure.
+    ///
+    /// A value for which too little memory is left is dropped, and the request can't be answered with values then.
     pub fn record_result(&mut self, ended: &AttemptResult) {
         self.any_attempt_ended = true;
         let known = self.results.get(&ended.attempt.part);
-        if known.is_none_or(|known| known.value.is_err()) {
-            let result = PartResult {
-                attempt: ended.attempt,
-                value: part_value(ended),
-            };
-            self.results.insert(ended.attempt.part, result);
+        if known.is_some_and(|known| known.value.is_ok()) {
+            return;
+        }
+        let mut value = part_value(ended);
+        let size = value.as_ref().map_or(0, PartValue::size);
+        if !self.value_memory.resize(self.value_memory.bytes() + size) {
+            value = Err(PartFailure::ServerError);
+            self.has_retracted_value = true;
         }
+        let attempt = ended.attempt;
+        self.results
+            .insert(attempt.part, PartResult { attempt, value });
     }
 
     /// Removes the value of an attempt, if it is the value of its part.
--- a/crates/coordinator/src/pipeline/request_table/tests.rs
+++ b/crates/coordinator/src/pipeline/request_table/tests.rs
@@ -42,6 +42,7 @@
         payload: Payload::Plain("t".into()),
         contracts: None,
         client: Default::default(),
+        memory: None,
     };
     ClientRequest { request, reply }
 }
--- a/crates/coordinator/src/server/context.rs
+++ b/crates/coordinator/src/server/context.rs
@@ -56,7 +56,7 @@
             phase,
             listeners_closed: watch::Sender::new(false),
             served_configuration,
-            connections: Rc::default(),
+            connections: Rc::new(ClientConnections::new(config.limits.buffers.clients)),
         };
         (context, core)
     }
--- a/crates/coordinator/src/server/listeners.rs
+++ b/crates/coordinator/src/server/listeners.rs
@@ -9,10 +9,14 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+/// Number of connections that may wait to be accepted. While all slots are occupied, as many clients again may connect at
+/// once; the system drops further ones, which try again a second later.
+const LISTEN_BACKLOG: u32 = 4096;
+
 /// The accepting tasks of all fronts.
 pub struct ClientListeners {
     tasks: Vec<JoinHandle<()>>,
@@ -30,7 +34,7 @@
         context: &Context,
     ) -> Result<ClientListeners, ServerError> {
         let is_shared = inherited.is_some();
-        let platform = listen(config, config.listen, FrontKind::Platform, inherited).await?;
+        let platform = listen(config, config.listen, FrontKind::Platform, inherited)?;
         let mut tasks = vec![accept(
             config,
             platform,
@@ -39,7 +43,7 @@
             context,
         )];
         if let Some(address) = config.opensearch_listen {
-            let opensearch = listen(config, address, FrontKind::OpenSearch, None).await?;
+            let opensearch = listen(config, address, FrontKind::OpenSearch, None)?;
             tasks.push(accept(
                 config,
                 opensearch,
@@ -59,7 +63,7 @@
     }
 }
 
-async fn listen(
+fn listen(
     config: &Config,
     address: SocketAddr,
     kind: FrontKind,
@@ -68,7 +72,7 @@
     let error = |source| ServerError::Listen { address, source };
     let listener = match inherited {
         Some(listener) => TcpListener::from_std(listener),
-        None => TcpListener::bind(address).await,
+        None => bind(address),
     };
     let listener = listener.map_err(error)?;
     let bound = listener.local_addr().map_err(error)?;
@@ -76,6 +80,17 @@
     Ok(listener)
 }
 
+/// Opens a listening socket. Another process on this address that has ended does not prevent that.
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
 fn label(kind: FrontKind) -> &'static str {
     match kind {
         FrontKind::Platform => "platform",
