Bound the share of the thread, and the tables, of requests that are answered at once

Under ever new ids of sound requests from 150 connections the process grew from 11.6 to 14.1 MB in 14 s. One client alone on one connection did not stop others here.

Cause: a request that reaches the core waits for a tick; one that the front answers alone waits for nothing, and a session yielded only when tokio made it, after 128 reads and writes. Nothing bounded the sum over all connections. Two tables grew with what clients send: recent request ids (texts, kept 10 s) and the arrivals that the router counts (an entry each, kept for fifty latency objectives). Ruled out by reading: descriptions' tables, suspensions, log (all bounded), classes (fixed by the settings).

Change: a session yields after each request. Clients whose requests do not reach the core pause for four times the time that these took, times the number of such clients (fronts/local_reply_throttle.rs). Paths: unsound requests, unknown paths, health checks, rejections for a full queue or short memory: throttled; unreadable requests, overload: the connection is closed as before; sound ones: one a tick as before. Of ids named by clients hashes are kept, 1,024 for each megabyte, beyond which requests are rejected; generated ids are not kept.

--- a/crates/coordinator/src/configuration/limits.rs
+++ b/crates/coordinator/src/configuration/limits.rs
@@ -16,6 +16,11 @@
 /// Memory in bytes of one connection without the bytes that it reserves: its task, and a request of usual size or one read
 /// from a server.
 const CONNECTION_MEMORY: usize = 8 * 1024;
+/// Number of request ids that are remembered for each megabyte. A core opens some three thousand requests a second at
+/// most, and an id is remembered for ten seconds or more.
+const REMEMBERED_IDS_PER_MB: usize = 1024;
+/// Memory in bytes of one remembered id.
+const REMEMBERED_ID_MEMORY: usize = 64;
 /// Share of the remaining memory that buffers may occupy; the allocator loses the rest to fragmentation.
 const BUFFER_SHARE: f64 = 0.8;
 /// Share of the buffers for what clients send.
@@ -38,6 +43,8 @@
     pub max_accepted_clients: usize,
     /// Maximum number of connections to servers.
     pub max_server_connections: usize,
+    /// Maximum number of request ids that are remembered to detect ids that are used twice.
+    pub remembered_ids: usize,
     /// Limits on the buffers of these connections.
     pub buffers: BufferLimits,
 }
@@ -84,6 +91,7 @@
             max_active_clients,
             max_accepted_clients,
             max_server_connections,
+            remembered_ids: memory_mb.saturating_mul(REMEMBERED_IDS_PER_MB),
             buffers: BufferLimits::new(memory_mb, connections),
         }
     }
@@ -92,7 +100,7 @@
 impl BufferLimits {
     /// Divides the memory that the program and its connections leave.
     fn new(memory_mb: usize, connections: usize) -> BufferLimits {
-        let occupied = BASE_MEMORY.saturating_add(connections.saturating_mul(CONNECTION_MEMORY));
+        let occupied = occupied_memory(memory_mb, connections);
         let left = memory_mb
             .saturating_mul(BYTES_PER_MB)
             .saturating_sub(occupied);
@@ -107,8 +115,15 @@
     /// Returns the memory that the process may occupy, in bytes: the program, this number of connections, and all
     /// buffers.
     #[cfg(test)]
-    pub(super) fn peak_memory(&self, connections: usize) -> usize {
+    pub(super) fn peak_memory(&self, memory_mb: usize, connections: usize) -> usize {
         let buffers = (self.clients + self.servers + self.values) as f64 / BUFFER_SHARE;
-        BASE_MEMORY + connections * CONNECTION_MEMORY + buffers as usize
+        occupied_memory(memory_mb, connections) + buffers as usize
     }
 }
+
+/// Returns the memory of the program and of this number of connections without their buffers, in bytes.
+fn occupied_memory(memory_mb: usize, connections: usize) -> usize {
+    let ids = memory_mb.saturating_mul(REMEMBERED_IDS_PER_MB * REMEMBERED_ID_MEMORY);
+    let connections = connections.saturating_mul(CONNECTION_MEMORY);
+    BASE_MEMORY.saturating_add(ids).saturating_add(connections)
+}
--- a/crates/coordinator/src/configuration/tests.rs
+++ b/crates/coordinator/src/configuration/tests.rs
@@ -90,7 +90,7 @@
         for sockets in [128, 256, 512, 1024] {
             let limits = ConnectionLimits::new(memory_mb, sockets);
             let connections = limits.max_accepted_clients + limits.max_server_connections;
-            let peak = limits.buffers.peak_memory(connections);
+            let peak = limits.buffers.peak_memory(memory_mb as usize, connections);
             // With 16 MB, a process shares 32 MB and 512 descriptors with the one that replaces it.
             if memory_mb > 16 || sockets <= 512 {
                 assert!(
--- a/crates/coordinator/src/fronts/client_connections.rs
+++ b/crates/coordinator/src/fronts/client_connections.rs
@@ -6,6 +6,7 @@
 
 mod receiving;
 
+use super::local_reply_throttle::LocalReplyThrottle;
 use crate::clock::Clock;
 use crate::connections::discard::DiscardLimiter;
 use crate::memory::{MemoryPool, MemoryReservation};
@@ -105,6 +106,8 @@
     next_id: Cell<u64>,
     /// Limits the rate at which the connections discard what clients still send.
     pub discards: DiscardLimiter,
+    /// Limits the share of the thread of requests that are answered without the core.
+    pub local_replies: LocalReplyThrottle,
     /// Connections that may be evicted, by idle time.
     idle: RefCell<BTreeMap<IdleKey, IdleConnection>>,
     /// Connections with an incomplete request.
--- a/crates/coordinator/src/fronts/exchange.rs
+++ b/crates/coordinator/src/fronts/exchange.rs
@@ -3,7 +3,7 @@
 use super::client_connections::ClientConnection;
 use super::front::Front;
 use crate::connections::receive_buffer::ReceiveBuffer;
-use crate::messages::{Answer, ClientLiveness, ContractsInForce, Request};
+use crate::messages::{Answer, ClientLiveness, ClientRequest, ContractsInForce, Request};
 use crate::pipeline::request_queue;
 use cairnroad_types::Seconds;
 use std::rc::Rc;
@@ -31,6 +31,8 @@
     pub overrun: &'a mut bool,
     /// The connection's slot, which accounts for its memory.
     pub connection: &'a ClientConnection,
+    /// Set once a request was queued for the core.
+    pub reached_core: &'a mut bool,
     /// Whether the client is known to be connected.
     pub client: &'a ClientLiveness,
     /// The interface descriptions that were in force when the request arrived.
@@ -89,7 +91,11 @@
     }
 
     /// Queues one request for the core. Without enough memory for its attempts, it is rejected at once.
-    fn submit_one(&self, mut request: Request, retry_after: Seconds) -> oneshot::Receiver<Answer> {
+    fn submit_one(
+        &mut self,
+        mut request: Request,
+        retry_after: Seconds,
+    ) -> oneshot::Receiver<Answer> {
         let connections = &self.front.connections;
         match connections.reserve_for_request(request.size()) {
             None => return request_queue::rejection(retry_after),
@@ -98,6 +104,9 @@
         request.contracts = self.contracts.clone();
         request.client = self.client.clone();
         request.deadline = connections.cap_deadline(request.deadline);
-        request_queue::submit(&self.front.request_queue, request, retry_after)
+        let (reply, answer) = oneshot::channel();
+        let client = ClientRequest { request, reply };
+        *self.reached_core |= request_queue::submit(&self.front.request_queue, client, retry_after);
+        answer
     }
 }
--- a/crates/coordinator/src/fronts/mod.rs
+++ b/crates/coordinator/src/fronts/mod.rs
@@ -9,6 +9,7 @@
 mod front;
 mod health;
 mod listener;
+mod local_reply_throttle;
 pub mod opensearch;
 mod platform;
 mod reply;
--- a/crates/coordinator/src/fronts/opensearch/mod.rs
+++ b/crates/coordinator/src/fronts/opensearch/mod.rs
@@ -138,6 +138,7 @@
     let weight = 1.0 / search.shards.len() as f64;
     Request {
         external_id: front.generate_request_name().into(),
+        is_named_by_client: false,
         class: search.index.class,
         deadline: arrived_at
             + search
--- a/crates/coordinator/src/fronts/platform.rs
+++ b/crates/coordinator/src/fronts/platform.rs
@@ -157,6 +157,7 @@
     let work_micros: Option<f64> = body.shards.iter().map(|requested| requested.cost).sum();
     Ok(Request {
         external_id: id.into(),
+        is_named_by_client: true,
         class,
         deadline: arrived_at + (deadline - CLIENT_NETWORK_DELAY),
         client_retry: message.fields.get("X-Retry") == Some("1"),
--- a/crates/coordinator/src/fronts/session.rs
+++ b/crates/coordinator/src/fronts/session.rs
@@ -6,6 +6,7 @@
 use super::client_connections::ClientConnection;
 use super::exchange::{ClientDisconnected, Exchange};
 use super::front::{Front, FrontKind};
+use super::local_reply_throttle::LocalReplyTime;
 use super::reply::Reply;
 use super::{health, opensearch, platform};
 use crate::connections::receive_buffer::ReceiveBuffer;
@@ -41,6 +42,8 @@
         client: ClientLiveness::default(),
         first_request_deadline: Some(Instant::now() + REQUEST_READ_TIMEOUT),
         pipelining_since: None,
+        reached_core: false,
+        local_reply_time: LocalReplyTime::default(),
         connection,
         stream,
     };
@@ -63,6 +66,10 @@
     /// Receipt of the first in a run of pipelined requests; `None` if no request was in the buffer after the last
     /// response.
     pipelining_since: Option<Instant>,
+    /// Whether the last request was queued for the core.
+    reached_core: bool,
+    /// Time that requests took which were answered without the core.
+    local_reply_time: LocalReplyTime,
     connection: ClientConnection,
     stream: TcpStream,
 }
@@ -81,6 +88,7 @@
         };
         let arrived_at = self.front.clock.earliest_arrival();
         let received_at = Instant::now();
+        self.reached_core = false;
         let overloaded =
             self.front.connections.in_flight_count() > self.front.limits.max_active_clients;
         let close_requested = request.close_requested;
@@ -95,9 +103,21 @@
         if close {
             return self.close(close_requested).await;
         }
+        self.throttle(received_at).await;
         self.limit_pipelining(received_at).await
     }
 
+    /// Lets other tasks run after a request, and pauses if this client's requests are answered without the core.
+    async fn throttle(&mut self, received_at: Instant) {
+        if self.reached_core {
+            self.local_reply_time = LocalReplyTime::default();
+            return tokio::task::yield_now().await;
+        }
+        self.local_reply_time.add(received_at.elapsed());
+        let throttle = &self.front.connections.local_replies;
+        throttle.pause(&mut self.local_reply_time).await;
+    }
+
     /// Returns the response to a request. The request is checked against its description even if it is not forwarded to
     /// the core.
     async fn answer(
@@ -161,6 +181,7 @@
             buffer: &mut self.buffer,
             overrun: &mut self.overrun,
             connection: &self.connection,
+            reached_core: &mut self.reached_core,
             client: &self.client,
             contracts,
         };
--- a/crates/coordinator/src/fronts/session/next_request.rs
+++ b/crates/coordinator/src/fronts/session/next_request.rs
@@ -106,7 +106,9 @@
 
     /// Removes a complete request from the front of the buffer; `None` if there is none.
     fn parse_request(&mut self) -> Result<Option<http::Request>, http::MessageError> {
+        let begun = Instant::now();
         let request = self.parser.parse(&mut self.buffer.bytes)?;
+        self.local_reply_time.add(begun.elapsed());
         if request.is_some() {
             self.connection.request_received(self.front.clock.now());
         }
--- a/crates/coordinator/src/messages/request.rs
+++ b/crates/coordinator/src/messages/request.rs
@@ -43,6 +43,8 @@
 pub struct Request {
     /// The request id that servers see, unique among recent requests. The internal id is assigned at admission.
     pub external_id: Arc<str>,
+    /// Whether the client chose the external id, so that it may be used twice; generated ids never are.
+    pub is_named_by_client: bool,
     /// The index of the request's class in the deployment's class table.
     pub class: usize,
     /// The time at which the client stops waiting.
--- a/crates/coordinator/src/pipeline/admission.rs
+++ b/crates/coordinator/src/pipeline/admission.rs
@@ -38,29 +38,28 @@
 fn immediate_answer(
     now: Time,
     client: &ClientRequest,
-    requests: &RequestTable,
+    requests: &mut RequestTable,
     router: &RouterDriver,
     metrics: &mut Metrics,
 ) -> Option<Answer> {
     let request = &client.request;
     // Servers identify parts by the request's external id. Two requests with the same id could receive each other's
     // values, even if the first has already ended: a server may still answer one of its abandoned parts.
-    if requests.is_recent_external_id(&request.external_id) {
+    if requests.is_recent_external_id(now, &request.external_id) {
         return Some(Answer::DuplicateExternalId);
     }
-    if !requests.has_capacity_for(request.parts.len()) {
+    let rejection = || Answer::Rejected {
+        retry_after: RETRY_AFTER_OBJECTIVES * router.latency_objective(request.class),
+        over_capacity: true,
+    };
+    let is_rememberable = !request.is_named_by_client || requests.can_remember_external_id(now);
+    if !is_rememberable || !requests.has_capacity_for(request.parts.len()) {
         metrics.increment(Counter::OverCapacity);
-        return Some(Answer::Rejected {
-            retry_after: RETRY_AFTER_OBJECTIVES * router.latency_objective(request.class),
-            over_capacity: true,
-        });
+        return Some(rejection());
     }
     // Nothing has been sent yet, so the client may safely retry if it is still there.
     if !request.client.is_confirmed(now) {
-        return Some(Answer::Rejected {
-            retry_after: RETRY_AFTER_OBJECTIVES * router.latency_objective(request.class),
-            over_capacity: true,
-        });
+        return Some(rejection());
     }
     (request.deadline <= now).then_some(Answer::Failed { timed_out: true })
 }
--- a/crates/coordinator/src/pipeline/core/tests.rs
+++ b/crates/coordinator/src/pipeline/core/tests.rs
@@ -114,6 +114,7 @@
 fn request(deadline: Time) -> Request {
     Request {
         external_id: "one".into(),
+        is_named_by_client: true,
         class: 0,
         deadline,
         client_retry: false,
--- a/crates/coordinator/src/pipeline/request_queue.rs
+++ b/crates/coordinator/src/pipeline/request_queue.rs
@@ -1,6 +1,6 @@
 //! The bounded queue between the fronts and the core.
 
-use crate::messages::{Answer, ClientRequest, Request};
+use crate::messages::{Answer, ClientRequest};
 use cairnroad_types::Seconds;
 use tokio::sync::{mpsc, oneshot};
 
@@ -22,20 +22,20 @@
     }
 }
 
-/// Submits a front's request to the core and returns the channel on which the final answer arrives.
+/// Submits a front's request to the core, which answers it later. Returns whether it was queued.
 ///
 /// If the queue is full or the core has ended, the request is rejected immediately; `retry_after` is the Retry-After of
 /// that rejection.
 pub fn submit(
     core: &mpsc::Sender<ClientRequest>,
-    request: Request,
+    client: ClientRequest,
     retry_after: Seconds,
-) -> oneshot::Receiver<Answer> {
-    let (reply, answer) = oneshot::channel();
-    if let Err(rejected) = core.try_send(ClientRequest { request, reply }) {
-        reject(rejected.into_inner().reply, retry_after);
-    }
-    answer
+) -> bool {
+    let Err(rejected) = core.try_send(client) else {
+        return true;
+    };
+    reject(rejected.into_inner().reply, retry_after);
+    false
 }
 
 /// Returns the channel of a request that is rejected because the coordinator has no capacity for it.
--- a/crates/coordinator/src/pipeline/request_table.rs
+++ b/crates/coordinator/src/pipeline/request_table.rs
@@ -1,7 +1,7 @@
 //! The table of open requests: their parts, the attempts that were sent and the results that were received.
 
 mod open_request;
-mod recent_names;
+mod recent_external_ids;
 
 use crate::configuration::Config;
 use crate::memory::MemoryPool;
@@ -9,7 +9,7 @@
 use cairnroad_settings::Deployment;
 use cairnroad_types::{Class, Event, Idempotency, RequestId, Seconds, Time};
 pub use open_request::OpenRequest;
-use recent_names::RecentExternalIds;
+use recent_external_ids::RecentExternalIds;
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -80,7 +80,7 @@
             timeout_margin: TIMEOUT_MARGIN,
             value_memory: MemoryPool::new(config.limits.buffers.values),
             orphaned_attempts: Vec::new(),
-            recent_external_ids: RecentExternalIds::default(),
+            recent_external_ids: RecentExternalIds::new(config.limits.remembered_ids),
         };
         table.reconfigure(&config.served.deployment);
         table
@@ -119,8 +119,13 @@
     }
 
     /// Returns whether a request with this external id is open or was opened recently.
-    pub fn is_recent_external_id(&self, external_id: &str) -> bool {
-        self.recent_external_ids.contains(external_id)
+    pub fn is_recent_external_id(&self, now: Time, external_id: &str) -> bool {
+        self.recent_external_ids.contains(now, external_id)
+    }
+
+    /// Returns whether the external id of another request can be remembered.
+    pub fn can_remember_external_id(&mut self, now: Time) -> bool {
+        self.recent_external_ids.has_room(now)
     }
 
     /// Returns the number of attempts that were sent for a part; 0 if the part is not open.
@@ -134,8 +139,10 @@
         now: Time,
         client: ClientRequest,
     ) -> (RequestId, Vec<(RequestId, PartSpec)>) {
-        self.recent_external_ids
-            .insert(now, client.request.external_id.clone());
+        if client.request.is_named_by_client {
+            self.recent_external_ids
+                .insert(now, &client.request.external_id);
+        }
         let id = RequestId(self.next_id);
         let part_ids = (id.0 + 1..).map(RequestId);
         let parts: Vec<_> = part_ids.zip(client.request.parts.iter().cloned()).collect();
--- a/crates/coordinator/src/pipeline/request_table/tests.rs
+++ b/crates/coordinator/src/pipeline/request_table/tests.rs
@@ -30,6 +30,7 @@
     let (reply, _) = oneshot::channel();
     let request = Request {
         external_id: external_id.into(),
+        is_named_by_client: true,
         class: 0,
         deadline: now + CLIENT_WAIT,
         client_retry: false,
@@ -58,7 +59,7 @@
             let now = start() + age;
             table.open(now, client(&age.to_string(), now));
             assert_eq!(
-                table.is_recent_external_id("first"),
+                table.is_recent_external_id(now, "first"),
                 remembered,
                 "age {age} s with a deadline of {deadline} s"
             );
