Share the ids that either process of an upgrade has taken, so that none runs at both

Of pairs with one id that came to both at once, both were answered 200.

Cause: the table of recent ids was known to its process alone (pipeline/request_table). Within one process an id that comes again is answered 409 in each of these cases, also after its client has left: not reproduced there.

Change: a process with an inherited socket and a TMPDIR appends the hash of each id that it takes to a file of the current minute in the shared folder, and reads the other's records before it admits (external_ids/shared.rs). It appends before it reads, so of two that come at once at most one runs, also over the end of a minute. What the other process knows of each table: ids: now shared; suspensions: files, as before; an operator's drain: one process's order; endpoint lists: both have discovery; idempotency keys: data nodes drop repeats; limits: halved; measurements and retry budget: each its own. A file that can't be used is logged once, and each process goes on alone. The ids have one owner now, request_table/external_ids.rs.

--- a/crates/coordinator/src/admin_api/suspension_store.rs
+++ b/crates/coordinator/src/admin_api/suspension_store.rs
@@ -60,8 +60,7 @@
 impl SuspensionStore {
     /// Opens the store of the coordinator with this name, in a subfolder of a folder that all its processes share.
     pub fn new(shared_folder: Option<&Path>, coordinator: &str) -> SuspensionStore {
-        let folder = shared_folder
-            .map(|shared| shared.join(format!("cairnroad-{}", file_name(coordinator))));
+        let folder = shared_folder.map(|shared| coordinator_folder(shared, coordinator));
         if let Some(folder) = &folder {
             if let Err(error) = fs::create_dir_all(folder).map_err(StoreError::CreateFolder) {
                 tracing::error!(folder = %folder.display(), %error, help = error.help(), "suspension store unavailable");
@@ -164,6 +163,11 @@
     serde_json::from_slice(&text).map_err(StoreError::Decode)
 }
 
+/// Returns the folder of the coordinator with this name within a folder that all its processes share.
+pub fn coordinator_folder(shared: &Path, coordinator: &str) -> PathBuf {
+    shared.join(format!("cairnroad-{}", file_name(coordinator)))
+}
+
 /// Returns the file name for an id, without the extension. Plain characters stay as they are, so that people can read
 /// the name.
 fn file_name(id: &str) -> String {
--- a/crates/coordinator/src/pipeline/admission.rs
+++ b/crates/coordinator/src/pipeline/admission.rs
@@ -31,10 +31,11 @@
         let _ = client.reply.send(answer);
         return;
     }
-    open(now, client, requests, router);
+    open(client, requests, router);
 }
 
-/// Returns the final answer of a request that can't be admitted; `None` if the request can be admitted.
+/// Returns the final answer of a request that can't be admitted. If it can be admitted, takes its external id and returns
+/// `None`.
 fn immediate_answer(
     now: Time,
     client: &ClientRequest,
@@ -45,14 +46,16 @@
     let request = &client.request;
     // Servers identify parts by the request's external id. Two requests with the same id could receive each other's
     // values, even if the first has already ended: a server may still answer one of its abandoned parts.
-    if requests.is_recent_external_id(now, &request.external_id) {
+    let is_named = request.is_named_by_client;
+    let ids = requests.external_ids();
+    if is_named && ids.is_recent(now, &request.external_id) {
         return Some(Answer::DuplicateExternalId);
     }
+    let is_rememberable = !is_named || ids.has_room(now);
     let rejection = || Answer::Rejected {
         retry_after: RETRY_AFTER_OBJECTIVES * router.latency_objective(request.class),
         over_capacity: true,
     };
-    let is_rememberable = !request.is_named_by_client || requests.can_remember_external_id(now);
     if !is_rememberable || !requests.has_capacity_for(request.parts.len()) {
         metrics.increment(Counter::OverCapacity);
         return Some(rejection());
@@ -61,16 +64,21 @@
     if !request.client.is_confirmed(now) {
         return Some(rejection());
     }
-    (request.deadline <= now).then_some(Answer::Failed { timed_out: true })
+    if request.deadline <= now {
+        return Some(Answer::Failed { timed_out: true });
+    }
+    // Nothing may keep the request from being opened after this.
+    let is_first = !is_named || requests.external_ids().take(now, &request.external_id);
+    (!is_first).then_some(Answer::DuplicateExternalId)
 }
 
 /// Opens a request in the request table and queues its events for the router.
-fn open(now: Time, client: ClientRequest, requests: &mut RequestTable, router: &mut RouterDriver) {
+fn open(client: ClientRequest, requests: &mut RequestTable, router: &mut RouterDriver) {
     let class = ClassId(client.request.class as u16);
     let deadline = client.request.deadline;
     let expected_work = client.request.expected_work;
     let client_retry = client.request.client_retry;
-    let (id, parts) = requests.open(now, client);
+    let (id, parts) = requests.open(client);
     router.push(Event::Query {
         id,
         class,
--- a/crates/coordinator/src/pipeline/core.rs
+++ b/crates/coordinator/src/pipeline/core.rs
@@ -11,11 +11,11 @@
 mod reconfiguration;
 
 use super::request_queue::RequestReceiver;
-use super::request_table::RequestTable;
+use super::request_table::{RequestTable, SharedIds};
 use super::router_driver::RouterDriver;
 use super::timer::Timer;
 use super::{admission, dispatch, respond};
-use crate::admin_api::suspension_store::SuspensionStore;
+use crate::admin_api::suspension_store::{self, SuspensionStore};
 use crate::clock::Clock;
 use crate::configuration::Config;
 use crate::connections::pool::{self, Pool};
@@ -29,6 +29,7 @@
 use crate::timer_wheel::TimerWheel;
 use cairnroad_admin::suspensions::Suspensions;
 use cairnroad_types::{Action, Event, Seconds, Time};
+use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -118,6 +119,7 @@
             slow_start_duration: deployment.policy.slow_start_duration,
             sweep_interval,
         };
+        core.share_external_ids(config, now);
         // Suspensions that an earlier process stored are loaded before the endpoint list, so that they apply from the
         // first attempt on.
         core.poll_suspensions(now);
@@ -125,6 +127,26 @@
         core
     }
 
+    /// Shares external ids with the other process of an upgrade, if there may be one: both accept from the same inherited
+    /// socket.
+    fn share_external_ids(&mut self, config: &Config, now: Time) {
+        let (Some(_), Some(shared_dir)) = (config.inherited_listener, &config.shared_dir) else {
+            return;
+        };
+        let folder = suspension_store::coordinator_folder(shared_dir, &config.name);
+        let process = RandomState::new().hash_one(std::process::id());
+        match SharedIds::new(&folder, process, now) {
+            Ok(shared) => self.requests.external_ids().share(shared),
+            Err(error) => tracing::error!(
+                folder = %folder.display(),
+                %error,
+                help = "restart with a TMPDIR that can be written; until then, an id that the other process has taken \
+                    is not recognized",
+                "request ids are not shared"
+            ),
+        }
+    }
+
     /// Ticks every `tick` seconds until the program ends.
     pub async fn run(mut self, tick: Seconds) {
         let mut ticks = tokio::time::interval(Duration::from_secs_f64(tick));
@@ -169,7 +191,11 @@
     }
 
     fn admit_requests(&mut self, now: Time) {
-        for client in self.request_queue.drain() {
+        let queued = self.request_queue.drain();
+        if !queued.is_empty() {
+            self.requests.external_ids().learn(now);
+        }
+        for client in queued {
             admission::admit(
                 now,
                 client,
--- a/crates/coordinator/src/pipeline/request_table.rs
+++ b/crates/coordinator/src/pipeline/request_table.rs
@@ -1,15 +1,16 @@
 //! The table of open requests: their parts, the attempts that were sent and the results that were received.
 
+mod external_ids;
 mod open_request;
-mod recent_external_ids;
 
 use crate::configuration::Config;
 use crate::memory::MemoryPool;
 use crate::messages::{AttemptId, AttemptResult, ClientRequest, OutboundAttempt, PartSpec};
 use cairnroad_settings::Deployment;
 use cairnroad_types::{Class, Event, Idempotency, RequestId, Seconds, Time};
+use external_ids::ExternalIds;
+pub use external_ids::SharedIds;
 pub use open_request::OpenRequest;
-use recent_external_ids::RecentExternalIds;
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -64,7 +65,7 @@
     value_memory: MemoryPool,
     /// Attempts of closed requests that have not been withdrawn from the connection pool yet.
     orphaned_attempts: Vec<AttemptId>,
-    recent_external_ids: RecentExternalIds,
+    external_ids: ExternalIds,
 }
 
 impl RequestTable {
@@ -80,7 +81,7 @@
             timeout_margin: TIMEOUT_MARGIN,
             value_memory: MemoryPool::new(config.limits.buffers.values),
             orphaned_attempts: Vec::new(),
-            recent_external_ids: RecentExternalIds::new(config.limits.remembered_ids),
+            external_ids: ExternalIds::new(config.limits.remembered_ids),
         };
         table.reconfigure(&config.served.deployment);
         table
@@ -92,7 +93,8 @@
     pub fn reconfigure(&mut self, deployment: &Deployment) {
         let policy = &deployment.policy;
         let retention = EXTERNAL_ID_RETENTION_DEADLINES * deployment.longest_deadline();
-        self.recent_external_ids.retention = EXTERNAL_ID_RETENTION.max(retention);
+        self.external_ids
+            .set_retention(EXTERNAL_ID_RETENTION.max(retention));
         self.capacity = deployment.max_in_flight;
         self.timeout_margin = TIMEOUT_MARGIN.max(TIMEOUT_MARGIN_TICKS * policy.tick);
         let windows = policy.classes.iter();
@@ -118,14 +120,9 @@
         self.requests.len() + self.parts.len() + 1 + parts <= self.capacity
     }
 
-    /// Returns whether a request with this external id is open or was opened recently.
-    pub fn is_recent_external_id(&self, now: Time, external_id: &str) -> bool {
-        self.recent_external_ids.contains(now, external_id)
-    }
-
-    /// Returns whether the external id of another request can be remembered.
-    pub fn can_remember_external_id(&mut self, now: Time) -> bool {
-        self.recent_external_ids.has_room(now)
+    /// Returns the external ids of open and recent requests.
+    pub fn external_ids(&mut self) -> &mut ExternalIds {
+        &mut self.external_ids
     }
 
     /// Returns the number of attempts that were sent for a part; 0 if the part is not open.
@@ -134,15 +131,7 @@
     }
 
     /// Opens a request. Returns the request's id, and its parts with their ids.
-    pub fn open(
-        &mut self,
-        now: Time,
-        client: ClientRequest,
-    ) -> (RequestId, Vec<(RequestId, PartSpec)>) {
-        if client.request.is_named_by_client {
-            self.recent_external_ids
-                .insert(now, &client.request.external_id);
-        }
+    pub fn open(&mut self, client: ClientRequest) -> (RequestId, Vec<(RequestId, PartSpec)>) {
         let id = RequestId(self.next_id);
         let part_ids = (id.0 + 1..).map(RequestId);
         let parts: Vec<_> = part_ids.zip(client.request.parts.iter().cloned()).collect();
--- a/crates/coordinator/src/pipeline/request_table/recent_external_ids.rs
+++ b/crates/coordinator/src/pipeline/request_table/external_ids/recent.rs
@@ -2,10 +2,19 @@
 
 use cairnroad_types::{Seconds, Time};
 use std::collections::{BTreeMap, VecDeque};
-use std::hash::{BuildHasher, RandomState};
 
-/// A hash of an external id. Its seed differs in each process, so that clients can't choose ids with the same hash.
-type IdHash = u64;
+/// A hash of an external id.
+pub type IdHash = u64;
+
+/// Offset basis and prime of FNV-1a with 64 bits. Both processes of an upgrade must hash alike, whatever built them.
+const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+/// Returns the hash of an external id.
+pub fn hash(id: &str) -> IdHash {
+    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+    id.bytes().fold(FNV_OFFSET_BASIS, mix)
+}
 
 /// A used id and the time at which its request was opened.
 struct UsedId {
@@ -16,30 +25,29 @@
 /// The external ids of the requests that were opened within the retention time. Clients choose them, so their number is
 /// limited, and only their hashes are kept.
 #[derive(Default)]
-pub struct RecentExternalIds {
+pub struct RecentIds {
     /// How long an id is remembered, in seconds.
     pub retention: Seconds,
     /// Maximum number of remembered ids.
     capacity: usize,
-    hasher: RandomState,
     /// When the latest request with each id was opened.
     opened_at: BTreeMap<IdHash, Time>,
     /// The same ids, oldest first.
     by_age: VecDeque<UsedId>,
 }
 
-impl RecentExternalIds {
+impl RecentIds {
     /// Creates an empty table of up to `capacity` ids.
     pub fn new(capacity: usize) -> Self {
-        RecentExternalIds {
+        RecentIds {
             capacity,
-            ..RecentExternalIds::default()
+            ..RecentIds::default()
         }
     }
 
     /// Returns whether a request used this id within the retention time.
-    pub fn contains(&self, now: Time, id: &str) -> bool {
-        let opened_at = self.opened_at.get(&self.hasher.hash_one(id));
+    pub fn contains(&self, now: Time, id: IdHash) -> bool {
+        let opened_at = self.opened_at.get(&id);
         opened_at.is_some_and(|&opened_at| now - opened_at <= self.retention)
     }
 
@@ -49,12 +57,10 @@
         self.by_age.len() < self.capacity
     }
 
-    /// Adds an id and removes the ids that are older than the retention time.
-    pub fn insert(&mut self, now: Time, id: &str) {
-        self.remove_expired(now);
-        let id = self.hasher.hash_one(id);
-        self.opened_at.insert(id, now);
-        self.by_age.push_back(UsedId { opened_at: now, id });
+    /// Adds the id of a request that was opened at `opened_at`.
+    pub fn insert(&mut self, opened_at: Time, id: IdHash) {
+        self.opened_at.insert(id, opened_at);
+        self.by_age.push_back(UsedId { opened_at, id });
     }
 
     fn remove_expired(&mut self, now: Time) {
--- a/crates/coordinator/src/pipeline/request_table/tests.rs
+++ b/crates/coordinator/src/pipeline/request_table/tests.rs
@@ -54,12 +54,12 @@
 fn an_external_id_is_remembered_for_longer_than_a_request_may_be_open() {
     for (deadline, retention) in [(2.0, 10.0), (12.0, 24.0)] {
         let mut table = table(Idempotency::Idempotent, 0.0, deadline);
-        table.open(start(), client("first", start()));
+        assert!(table.external_ids().take(start(), "first"));
         for (age, remembered) in [(retention - 0.1, true), (retention + 0.1, false)] {
             let now = start() + age;
-            table.open(now, client(&age.to_string(), now));
+            assert!(table.external_ids().take(now, &age.to_string()));
             assert_eq!(
-                table.is_recent_external_id(now, "first"),
+                table.external_ids().is_recent(now, "first"),
                 remembered,
                 "age {age} s with a deadline of {deadline} s"
             );
@@ -74,7 +74,7 @@
     let start = start();
     let end = start + CLIENT_WAIT;
     let mut table = table(Idempotency::IdempotentWithKey, 2.0, CLIENT_WAIT);
-    let (_, parts) = table.open(start, client("keyed", start));
+    let (_, parts) = table.open(client("keyed", start));
     let part = parts[0].0;
     let first = table.next_attempt(start, part, end).unwrap();
     assert!(first.may_be_sent(start + 1.9) && !first.may_be_sent(start + 2.0));
@@ -106,7 +106,7 @@
 fn classes_without_an_idempotency_key_have_no_dedup_window() {
     let start = start();
     let mut table = table(Idempotency::AtMostOnce, 2.0, CLIENT_WAIT);
-    let (_, parts) = table.open(start, client("once", start));
+    let (_, parts) = table.open(client("once", start));
     let attempt = table.next_attempt(start, parts[0].0, start + CLIENT_WAIT);
     assert!(attempt.unwrap().may_be_sent(start + 8.0));
 }
@@ -122,7 +122,7 @@
         deployment.policy.tick = tick;
         let mut table = RequestTable::new(&config);
         table.reconfigure(&deployment);
-        let (id, _) = table.open(start, client("one", start));
+        let (id, _) = table.open(client("one", start));
         let open = table.close(id).unwrap();
         assert!(
             table.counts_as_timed_out(start + (CLIENT_WAIT - late), &open),
