Await polls of discovery beyond their time limit, beside the polls that follow

Cause: a poll that passed its time limit was given up with its connection (discovery/watch_task.rs), and each confirmation poll has 0.5 s, so none was ever answered. Widening the limits with failures was ruled out: connections of an outage stay silent, what the agent has counts as told at its return, and a poll with a long limit would wait on a silent connection meanwhile (the property tests of discovery-watch hold the next poll to 0.5 s).

Change: a late poll is still awaited while the next one is sent as before; the first answer ends the others (discovery/late_polls.rs, a JoinSet of six polls at most, whose lists share 2 MiB). Connecting keeps its 0.5 s.

Delays survived: a late poll is awaited for 0.5 s + 6 x (0.5 + 0.1) s = 4.1 s, so answers up to 4 s late are heard. An answer without the change may be under way when the change comes, and the next one takes as long: heard within twice the delay, and within the 6 s up to a delay of 3 s. From 4.1 s on nothing is heard.

--- a/crates/coordinator/src/discovery/agent_connection.rs
+++ b/crates/coordinator/src/discovery/agent_connection.rs
@@ -2,9 +2,10 @@
 
 use crate::connections::socket::READ_SIZE;
 use crate::http;
+use crate::memory::MemoryReservation;
+use crate::messages::ContractsInForce;
 use bytes::BytesMut;
 use cairnroad_discovery_watch::{PollRequest, WatchError, CONNECT_TIMEOUT};
-use cairnroad_types::Seconds;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -13,6 +14,10 @@
 
 /// Maximum size of an endpoint list in bytes.
 const MAX_LIST_BYTES: usize = 1024 * 1024;
+/// Maximum size of the lists that are received on all connections at once, in bytes.
+pub(super) const MAX_LIST_MEMORY: usize = 2 * MAX_LIST_BYTES;
+/// The fault of a list that does not fit into [`MAX_LIST_MEMORY`] beside others.
+const LISTS_TOO_LARGE: &str = "several lists at once are too large";
 const STATUS_OK: u16 = 200;
 
 /// An open connection to the agent.
@@ -21,11 +26,24 @@
     stream: TcpStream,
     /// Bytes that were read but not parsed yet.
     buffer: BytesMut,
+    /// The memory of the list that is being received.
+    memory: MemoryReservation,
+}
+
+/// A response of the agent, and the connection on which it arrived.
+pub(super) struct PolledResponse {
+    pub(super) connection: AgentConnection,
+    pub(super) response: http::Response,
+    /// The descriptions that were in force when the poll was sent.
+    pub(super) contracts: ContractsInForce,
 }
 
 impl AgentConnection {
     /// Connects to the agent at an address.
-    pub(super) async fn open(agent: SocketAddr) -> Result<AgentConnection, WatchError> {
+    pub(super) async fn open(
+        agent: SocketAddr,
+        memory: MemoryReservation,
+    ) -> Result<AgentConnection, WatchError> {
         let time_limit = Duration::from_secs_f64(CONNECT_TIMEOUT);
         let stream = timeout(time_limit, TcpStream::connect(agent))
             .await
@@ -37,25 +55,25 @@
             agent,
             stream,
             buffer: BytesMut::new(),
+            memory,
         })
     }
 
-    /// Sends a poll for a request target and returns its response. Any status but 200 is an error.
+    /// Sends a poll for a request target and waits for its response. Any status but 200 is an error.
     pub(super) async fn poll(
-        &mut self,
-        target: &str,
-        response_timeout: Seconds,
-    ) -> Result<http::Response, WatchError> {
-        let time_limit = Duration::from_secs_f64(response_timeout);
-        let response = timeout(time_limit, self.exchange(target))
-            .await
-            .map_err(|_| WatchError::ResponseTimeout {
-                secs: response_timeout,
-            })??;
+        mut self,
+        target: String,
+        contracts: ContractsInForce,
+    ) -> Result<PolledResponse, WatchError> {
+        let response = self.exchange(&target).await?;
         if response.status != STATUS_OK {
             return Err(WatchError::UnexpectedStatus(response.status));
         }
-        Ok(response)
+        Ok(PolledResponse {
+            connection: self,
+            response,
+            contracts,
+        })
     }
 
     async fn exchange(&mut self, target: &str) -> Result<http::Response, WatchError> {
@@ -69,11 +87,16 @@
                 .parse(&mut self.buffer, is_closed)
                 .map_err(|error| WatchError::MalformedResponse(error.message()))?;
             if let Some(response) = parsed {
+                // Shrinking a reservation never fails.
+                let _ = self.memory.resize(0);
                 return Ok(response);
             }
             if is_closed {
                 return Err(WatchError::ConnectionClosed);
             }
+            if !self.memory.resize(parser.body_size()) {
+                return Err(WatchError::MalformedResponse(LISTS_TOO_LARGE));
+            }
         }
     }
 }
--- a/crates/coordinator/src/discovery/mod.rs
+++ b/crates/coordinator/src/discovery/mod.rs
@@ -10,6 +10,7 @@
 mod agent_connection;
 pub mod endpoint_list;
 pub mod file_source;
+mod late_polls;
 mod server_directory;
 mod watch_task;
 
--- a/crates/coordinator/tests/common/scripted_discovery.rs
+++ b/crates/coordinator/tests/common/scripted_discovery.rs
@@ -17,6 +17,8 @@
     Close(Vec<u8>),
     /// Sends these bytes and resets the connection.
     Reset(Vec<u8>),
+    /// Sends these bytes in pieces over this time, and keeps the connection open for further calls.
+    Trickle(Vec<u8>, Duration),
     /// Sends these bytes and nothing more, and keeps the connection open.
     Stall(Vec<u8>),
 }
@@ -87,6 +89,13 @@
             received.lock().unwrap().push(call.clone());
             match script(&call) {
                 ScriptedReply::Send(bytes) => stream.write_all(&bytes).ok()?,
+                ScriptedReply::Trickle(bytes, duration) => {
+                    const PIECES: usize = 20;
+                    for piece in bytes.chunks(bytes.len().div_ceil(PIECES)) {
+                        thread::sleep(duration / PIECES as u32);
+                        stream.write_all(piece).ok()?;
+                    }
+                }
                 ScriptedReply::Close(bytes) => return stream.write_all(&bytes).ok(),
                 ScriptedReply::Reset(bytes) => {
                     stream.write_all(&bytes).ok()?;
--- a/crates/coordinator/tests/discovery_watch_recovery.rs
+++ b/crates/coordinator/tests/discovery_watch_recovery.rs
@@ -6,6 +6,8 @@
 use common::scripted_discovery::*;
 use common::*;
 use serde_json::json;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -138,3 +140,109 @@
     let seen = coordinator.data_nodes.received.lock().unwrap();
     assert!(!seen.is_empty() && seen.iter().all(|seen| seen.server != 0));
 }
+
+/// How a slow agent delays its answers.
+#[derive(Clone, Copy, Debug)]
+enum Slowness {
+    /// Each answer begins this much later than it is due.
+    Late(Duration),
+    /// Each answer arrives in pieces over this time.
+    Trickling(Duration),
+}
+
+/// When an agent becomes slow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum SlowFrom {
+    /// Before the coordinator starts.
+    Start,
+    /// After the coordinator has received a list.
+    FirstList,
+    /// With the agent to which SIGHUP moves the coordinator.
+    Move,
+}
+
+/// Guards against a watch that gives up each poll before its answer arrives, and begins the same again without end: a drain
+/// must be heard of within 6 s, and 0.25 s of grace and 0.05 s of slack later nothing may be sent.
+#[test]
+fn a_drain_is_heard_of_while_the_agent_is_slow() {
+    let late = |millis| Slowness::Late(Duration::from_millis(millis));
+    let trickling = |millis| Slowness::Trickling(Duration::from_millis(millis));
+    let checks: Vec<_> = [
+        (late(600), SlowFrom::FirstList),
+        (late(1_200), SlowFrom::FirstList),
+        (late(2_500), SlowFrom::FirstList),
+        (trickling(1_500), SlowFrom::FirstList),
+        (late(1_200), SlowFrom::Start),
+        (trickling(2_000), SlowFrom::Start),
+        (late(1_200), SlowFrom::Move),
+        (late(2_500), SlowFrom::Move),
+    ]
+    .into_iter()
+    .map(|(slowness, from)| thread::spawn(move || check_slow_agent(slowness, from)))
+    .collect();
+    for check in checks {
+        check.join().unwrap();
+    }
+}
+
+fn check_slow_agent(slowness: Slowness, from: SlowFrom) {
+    let data_nodes = DataNodes::new(|_, _, _| Behavior::Serve);
+    let members = start_data_nodes(WireFormat::Platform, &data_nodes);
+    let mut drained = members.clone();
+    drained[0]["phase"] = json!("leaving");
+    let is_slow = Arc::new(AtomicBool::new(from == SlowFrom::Start));
+    let is_draining = Arc::new(AtomicBool::new(from == SlowFrom::Start));
+    let agent = || {
+        let (members, drained) = (members.clone(), drained.clone());
+        let (is_slow, is_draining) = (is_slow.clone(), is_draining.clone());
+        ScriptedDiscovery::new(move |call| {
+            let is_told = || call.from() == Some(2) || !is_draining.load(Ordering::SeqCst);
+            let held = if call.target.contains("hold_ms=100") {
+                100
+            } else {
+                2_000
+            };
+            let asked_at = Instant::now();
+            while call.from().is_some()
+                && is_told()
+                && asked_at.elapsed() < Duration::from_millis(held)
+            {
+                thread::sleep(Duration::from_millis(2));
+            }
+            let body = match is_draining.load(Ordering::SeqCst) {
+                true => member_list(2, true, &drained),
+                false => member_list(1, true, &members),
+            };
+            match slowness {
+                _ if !is_slow.load(Ordering::SeqCst) => ScriptedReply::Send(http_ok(&body)),
+                Slowness::Late(delay) => {
+                    thread::sleep(delay);
+                    ScriptedReply::Send(http_ok(&body))
+                }
+                Slowness::Trickling(duration) => ScriptedReply::Trickle(http_ok(&body), duration),
+            }
+        })
+    };
+    let (first, second) = (agent(), agent());
+    let known = json!({"revision": 1, "complete": true, "members": members});
+    let begun = Instant::now();
+    let coordinator = TestCoordinator::with_config(data_nodes, members.clone(), |config| {
+        config["discovery"] = json!(first.address.to_string());
+        config["known"] = known;
+    });
+    let mut told_from = begun;
+    if from != SlowFrom::Start {
+        is_slow.store(true, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(4_300));
+        is_draining.store(true, Ordering::SeqCst);
+        told_from = Instant::now();
+    }
+    if from == SlowFrom::Move {
+        coordinator.reconfigure(|config| config["discovery"] = json!(second.address.to_string()));
+    }
+    let last = last_part_sent_to_first_node(&coordinator, told_from, Duration::from_secs(8));
+    assert!(
+        last.is_none_or(|last| last < Duration::from_millis(6_300)),
+        "{slowness:?} from {from:?}: last part {last:?} after the drain"
+    );
+}
