Watch the folders of all symbolic links on the way to the endpoint files

Cause: the folder of the link and its parent were watched, not the folder of the file that the link names (file_source/change_watcher.rs), so changes there were found by the rescan, once a second. Paths with the same cause: a link on the way, a chain of links, links among the files of a folder, a link that is turned (its new folder was watched up to a second later, since the watch was renewed once a second and after the read).

Change: the path is followed link by link, and the folder of each link and of each file is watched (file_source/watched_folders.rs). The watch is renewed before a read if these folders changed, or after a second, since another folder may have been moved there. Links beyond 40 are taken for a loop; the faults of a loop stay as they were.

The coordinator's unit tests and endpoint_files passed; the whole suite was not run on this commit alone.

--- a/crates/coordinator/src/discovery/file_source/change_watcher.rs
+++ b/crates/coordinator/src/discovery/file_source/change_watcher.rs
@@ -1,35 +1,41 @@
 //! Watches the endpoint files for file system events.
 
+use super::watched_folders::watched_folders;
 use notify::{RecommendedWatcher, RecursiveMode, Watcher};
+use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::time::{Duration, Instant};
 
-/// Minimum time between two renewals of the watch.
+/// Time after which the watch is renewed though its folders have the same names: another folder may have been moved there.
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
 /// Capacity of the event queue. One pending event is enough to say that the files changed.
 const PENDING_EVENTS: usize = 1;
 
-/// Watches the folder that holds the files. Without a watch, such as while the folder does not exist, no change is
-/// reported, but the regular rescan still finds it.
+/// Watches the folders that hold the files and the links to them. Without a watch, such as while the folder does not exist,
+/// no change is reported, but the regular rescan still finds it.
 pub(super) struct ChangeWatcher {
     path: PathBuf,
     events: SyncSender<()>,
     changes: Receiver<()>,
     watcher: Option<RecommendedWatcher>,
+    /// The folders that `watcher` watches.
+    folders: BTreeSet<PathBuf>,
     renewed_at: Instant,
 }
 
 impl ChangeWatcher {
-    /// Starts to watch the folder of `path`, or `path` itself if it is a folder.
+    /// Starts to watch the files at `path`, which is a file or a folder.
     pub(super) fn new(path: &Path) -> ChangeWatcher {
         let (events, changes) = sync_channel(PENDING_EVENTS);
-        let watcher = watch(path, events.clone());
+        let folders = watched_folders(path);
+        let watcher = watch(&folders, events.clone());
         ChangeWatcher {
             path: path.to_path_buf(),
             events,
             changes,
             watcher,
+            folders,
             renewed_at: Instant::now(),
         }
     }
@@ -43,21 +49,24 @@
         changed
     }
 
-    /// Renews the watch, at most once per [`RENEW_INTERVAL`]. If the path's symbolic link now names another folder, the
-    /// old watch reports none of its changes.
-    pub(super) fn renew_if_due(&mut self) {
-        if self.renewed_at.elapsed() <= RENEW_INTERVAL {
+    /// Renews the watch if a link leads to another folder now, or if it is old. Called before the files are read, so that
+    /// no later change is missed.
+    pub(super) fn renew_if_needed(&mut self) {
+        let folders = watched_folders(&self.path);
+        if folders == self.folders && self.renewed_at.elapsed() <= RENEW_INTERVAL {
             return;
         }
         self.renewed_at = Instant::now();
-        if let Some(watcher) = watch(&self.path, self.events.clone()) {
+        if let Some(watcher) = watch(&folders, self.events.clone()) {
             self.watcher = Some(watcher);
+            self.folders = folders;
         }
     }
 }
 
-/// Watches the folder rather than the files, so that a file that is renamed over another one is reported too.
-fn watch(path: &Path, events: SyncSender<()>) -> Option<RecommendedWatcher> {
+/// Watches folders rather than files, so that a file that is renamed over another one is reported too. Returns `None` if
+/// none of the folders can be watched.
+fn watch(folders: &BTreeSet<PathBuf>, events: SyncSender<()>) -> Option<RecommendedWatcher> {
     let notify = move |event: notify::Result<notify::Event>| {
         // Reads are reported as access events, and would cause the next read without end.
         if event.is_ok_and(|event| !event.kind.is_access()) {
@@ -65,19 +74,8 @@
         }
     };
     let mut watcher = notify::recommended_watcher(notify).ok()?;
-    let folder = if path.is_dir() {
-        path
-    } else {
-        non_empty(path.parent()).unwrap_or(Path::new("."))
-    };
-    watcher.watch(folder, RecursiveMode::NonRecursive).ok()?;
-    // The folder may be replaced by changing the symbolic link that names it.
-    if let Some(parent) = non_empty(folder.parent()).filter(|_| path.is_symlink()) {
-        let _ = watcher.watch(parent, RecursiveMode::NonRecursive);
-    }
-    Some(watcher)
-}
-
-fn non_empty(path: Option<&Path>) -> Option<&Path> {
-    path.filter(|path| !path.as_os_str().is_empty())
+    let watched = folders
+        .iter()
+        .filter(|folder| watcher.watch(folder, RecursiveMode::NonRecursive).is_ok());
+    (watched.count() > 0).then_some(watcher)
 }
--- a/crates/coordinator/src/discovery/file_source/endpoint_source.rs
+++ b/crates/coordinator/src/discovery/file_source/endpoint_source.rs
@@ -85,9 +85,9 @@
                 debounce.on_change(started_at.elapsed());
             }
             if started_at.elapsed() >= debounce.next_read_at() {
+                watcher.renew_if_needed();
                 let outcome = self.check_files()?;
                 debounce.on_read(started_at.elapsed(), outcome);
-                watcher.renew_if_due();
             }
             if scheduled_at.is_some_and(|at| started_at.elapsed() >= at) {
                 self.publish()?;
--- a/crates/coordinator/src/discovery/file_source/mod.rs
+++ b/crates/coordinator/src/discovery/file_source/mod.rs
@@ -8,6 +8,7 @@
 mod publisher;
 mod scan;
 mod start_times;
+mod watched_folders;
 
 pub use scan::read_files;
 
--- a/crates/coordinator/tests/endpoint_files.rs
+++ b/crates/coordinator/tests/endpoint_files.rs
@@ -464,3 +464,108 @@
         200
     );
 }
+
+/// Time after which a change of the files has to be in force: the grace of removals, and the slack of the rules on sockets.
+const IN_FORCE_WITHIN: Duration = Duration::from_millis(300);
+
+/// A layout of links to a list, as tools that lay out configuration leave it.
+#[derive(Clone, Copy, Debug)]
+enum Links {
+    /// The path is a link to a file in another folder, which is replaced there.
+    File,
+    /// The path leads through a link to a folder; the link is turned to a new folder with each list.
+    TurnedFolder,
+    /// The path is a folder with a link to a file in another folder.
+    FileOfFolder,
+    /// The path is a link to a link to a folder, in which the file is overwritten.
+    FolderOverLinks,
+}
+
+impl Links {
+    /// Lays the list out below `root`. Returns the path in the settings.
+    fn create(self, root: &Path, text: &str) -> std::path::PathBuf {
+        use std::os::unix::fs::symlink;
+        for folder in ["config", "files", "versions/0"] {
+            std::fs::create_dir_all(root.join(folder)).unwrap();
+        }
+        std::fs::write(root.join("files/servers.toml"), text).unwrap();
+        std::fs::write(root.join("versions/0/servers.toml"), text).unwrap();
+        let config = root.join("config");
+        match self {
+            Links::File => symlink("../files/servers.toml", config.join("list.toml")).unwrap(),
+            Links::TurnedFolder => {
+                symlink("../versions/0", config.join("current")).unwrap();
+                symlink("current/servers.toml", config.join("list.toml")).unwrap();
+            }
+            Links::FileOfFolder => {
+                std::fs::create_dir(config.join("list.toml")).unwrap();
+                symlink("../../files/servers.toml", config.join("list.toml/a.toml")).unwrap();
+            }
+            Links::FolderOverLinks => {
+                symlink("../files", config.join("current")).unwrap();
+                symlink("current", config.join("list.toml")).unwrap();
+            }
+        }
+        config.join("list.toml")
+    }
+
+    /// Replaces the list as this layout's tool does.
+    fn change(self, root: &Path, step: usize, text: &str) {
+        let target = root.join("files/servers.toml");
+        match self {
+            Links::File | Links::FileOfFolder => write(0, &target, text),
+            Links::FolderOverLinks => write(1, &target, text),
+            Links::TurnedFolder => {
+                let version = format!("versions/{step}");
+                std::fs::create_dir(root.join(&version)).unwrap();
+                std::fs::write(root.join(&version).join("servers.toml"), text).unwrap();
+                let next = root.join("config/next");
+                std::os::unix::fs::symlink(format!("../{version}"), &next).unwrap();
+                std::fs::rename(&next, root.join("config/current")).unwrap();
+            }
+        }
+    }
+}
+
+/// Guards against a change behind a symbolic link that only the regular rescan finds, up to a second later.
+#[test]
+fn a_change_behind_links_is_in_force_as_fast_as_one_in_place() {
+    for links in [
+        Links::File,
+        Links::TurnedFolder,
+        Links::FileOfFolder,
+        Links::FolderOverLinks,
+    ] {
+        let data_nodes = DataNodes::new(|_, _, _| Behavior::Serve);
+        let servers: Vec<(usize, SocketAddr)> = (0..5)
+            .map(|number| (number, start_frame_node(number, data_nodes.clone())))
+            .collect();
+        let root = std::env::temp_dir().join(format!("cairnroad-links-{}", std::process::id()));
+        let path = links.create(&root, &roster(1, &servers));
+        let sections = format!(
+            "[membership]\nsource = \"files\"\npath = \"{}\"\n",
+            path.display()
+        );
+        let coordinator = TestCoordinator::start_with_files(
+            WireFormat::Platform,
+            data_nodes,
+            (1000, 1024),
+            Vec::new(),
+            &sections,
+            &[],
+        );
+        for step in 1..=6 {
+            // Changes at different times of the rescan's interval.
+            thread::sleep(Duration::from_millis(330));
+            let generation = step as u64 + 1;
+            links.change(&root, step, &roster(generation, &servers[step % 2..]));
+            let changed_at = Instant::now();
+            coordinator
+                .wait_for_log_line(&format!("endpoint list in force generation={generation}"));
+            let took = changed_at.elapsed();
+            assert!(took < IN_FORCE_WITHIN, "{links:?}, change {step}: {took:?}");
+        }
+        drop(coordinator);
+        std::fs::remove_dir_all(&root).unwrap();
+    }
+}
