Take a list written in place once it is stable, and let the finished one correct it

Cause: the marks of a complete list are its last line and its generation. A file that is overwritten in place has the older last line from the first write on, and a set in force could only be replaced by a higher generation (endpoint-files/validation.rs). With the generation itself cut, 20 over 19 is 29 for a moment.

--- a/crates/coordinator/src/discovery/file_source/endpoint_source.rs
+++ b/crates/coordinator/src/discovery/file_source/endpoint_source.rs
@@ -1,6 +1,7 @@
 //! The thread that keeps the endpoint list of the files in force.
 
 use super::change_watcher::ChangeWatcher;
+use super::in_place_changes::InPlaceChanges;
 use super::publisher::{CoreStopped, Publisher, WEIGHT_UPDATE_INTERVAL};
 use super::scan::{present_stamps, read_files, scan, FileStamps};
 use super::start_times::StartTimes;
@@ -15,7 +16,7 @@
 use cairnroad_endpoint_files::snapshot_store::{SnapshotStore, StateDirectory};
 use cairnroad_endpoint_files::timestamp::UnixSeconds;
 use cairnroad_endpoint_files::update_plan::{plan_update, UpdatePlan};
-use cairnroad_endpoint_files::validation::{decide_update, UpdateDecision};
+use cairnroad_endpoint_files::validation::{decide_correction, decide_update, UpdateDecision};
 use cairnroad_types::{ServerState, Time};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -34,6 +35,8 @@
     start_times: StartTimes,
     /// The stamps of the files that hold the set in force; empty if the files hold another set or are faulty.
     stamps_in_force: FileStamps,
+    /// Tells whether files that were written in place are complete, and may correct the list in force.
+    in_place: InPlaceChanges,
     /// The text of the last logged rejection, so that each rejection is logged once.
     last_rejection: String,
     /// Whether the last save failed, so that a failing disk is logged once.
@@ -57,6 +60,7 @@
             schedule: ActivationSchedule::default(),
             start_times: StartTimes::default(),
             stamps_in_force: FileStamps::new(),
+            in_place: InPlaceChanges::default(),
             last_rejection: String::new(),
             save_failed: false,
         }
@@ -178,18 +182,65 @@
             Ok(endpoint_set) => endpoint_set,
             Err(faults) => return Ok(self.reject(&faults)),
         };
-        let decision = self.decide(self.schedule.endpoint_set(), &endpoint_set);
-        if let UpdateDecision::Reject(faults) = decision {
-            return Ok(self.reject(&faults));
+        if !self.in_place.is_stable(&scan) {
+            return Ok(ReadOutcome::Unstable);
+        }
+        match self.decide(self.schedule.endpoint_set(), &endpoint_set) {
+            UpdateDecision::Unchanged => {}
+            UpdateDecision::Apply => self.take(endpoint_set, &scan.stamps)?,
+            UpdateDecision::Reject(faults) => {
+                match self.decide_correction(&endpoint_set, &scan.stamps) {
+                    UpdateDecision::Apply => self.correct(endpoint_set, &scan.stamps)?,
+                    UpdateDecision::Unchanged | UpdateDecision::Reject(_) => {
+                        return Ok(self.reject(&faults));
+                    }
+                }
+            }
         }
         self.last_rejection.clear();
         self.stamps_in_force = scan.stamps;
-        if decision == UpdateDecision::Apply {
-            self.apply(endpoint_set)?;
-        }
         Ok(ReadOutcome::Applied)
     }
 
+    /// Decides whether a set may replace the one in force because that was read from the same files while they were being
+    /// written.
+    fn decide_correction(&self, new: &EndpointSet, stamps: &FileStamps) -> UpdateDecision {
+        let Some(correctable) = self.in_place.correctable(stamps) else {
+            return UpdateDecision::Reject(Vec::new());
+        };
+        decide_correction(
+            correctable.before,
+            new,
+            &self.settings.layout,
+            self.settings.max_removed_share,
+        )
+    }
+
+    /// Puts a set of the files into force.
+    fn take(&mut self, endpoint_set: EndpointSet, stamps: &FileStamps) -> Result<(), CoreStopped> {
+        let before = self.schedule.endpoint_set().cloned();
+        self.in_place.on_taken(stamps, before);
+        self.apply(endpoint_set)
+    }
+
+    /// Puts a set into force instead of one that was read while the files were being written.
+    fn correct(
+        &mut self,
+        endpoint_set: EndpointSet,
+        stamps: &FileStamps,
+    ) -> Result<(), CoreStopped> {
+        tracing::warn!(
+            generation = endpoint_set.generation,
+            replaced = self.generation(),
+            help = "write lists beside the file and rename them over it, so that none is read half-written",
+            "endpoint list corrected"
+        );
+        self.in_place.on_corrected(stamps);
+        // The store keeps two sets and restores the one with the higher generation, which may be the wrong one.
+        self.save(&endpoint_set, unix_now());
+        self.apply(endpoint_set)
+    }
+
     /// Logs a rejection, unless it is the same as the last one.
     fn reject(&mut self, faults: &[Fault]) -> ReadOutcome {
         let cause = join_lines(faults);
--- a/crates/coordinator/src/discovery/file_source/mod.rs
+++ b/crates/coordinator/src/discovery/file_source/mod.rs
@@ -5,6 +5,7 @@
 
 mod change_watcher;
 mod endpoint_source;
+mod in_place_changes;
 mod publisher;
 mod scan;
 mod start_times;
--- a/crates/coordinator/src/discovery/file_source/scan.rs
+++ b/crates/coordinator/src/discovery/file_source/scan.rs
@@ -10,7 +10,7 @@
 /// The metadata by which a changed file is recognized.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct FileStamp {
-    inode: u64,
+    pub(super) inode: u64,
     length: u64,
     modified_seconds: i64,
     modified_nanoseconds: i64,
@@ -26,6 +26,17 @@
     pub(super) stamps: FileStamps,
 }
 
+impl Scan {
+    /// Returns a checksum of the texts of all files.
+    pub(super) fn checksum(&self) -> u32 {
+        let mut hasher = crc32fast::Hasher::new();
+        for text in self.files.iter().flat_map(|file| &file.text) {
+            hasher.update(text.as_bytes());
+        }
+        hasher.finalize()
+    }
+}
+
 /// Reads the files of an endpoint list: one file, or the `*.toml` files of a folder. A file that can't be read is
 /// returned with the reason.
 pub fn read_files(path: &Path) -> Vec<SourceFile> {
--- a/crates/coordinator/tests/endpoint_files.rs
+++ b/crates/coordinator/tests/endpoint_files.rs
@@ -478,7 +478,7 @@
     /// The path is a folder with a link to a file in another folder.
     FileOfFolder,
     /// The path is a link to a link to a folder, in which the file is overwritten.
-    FolderOverLinks,
+    ChainToFolder,
 }
 
 impl Links {
@@ -501,7 +501,7 @@
                 std::fs::create_dir(config.join("list.toml")).unwrap();
                 symlink("../../files/servers.toml", config.join("list.toml/a.toml")).unwrap();
             }
-            Links::FolderOverLinks => {
+            Links::ChainToFolder => {
                 symlink("../files", config.join("current")).unwrap();
                 symlink("current", config.join("list.toml")).unwrap();
             }
@@ -514,7 +514,7 @@
         let target = root.join("files/servers.toml");
         match self {
             Links::File | Links::FileOfFolder => write(0, &target, text),
-            Links::FolderOverLinks => write(1, &target, text),
+            Links::ChainToFolder => write(1, &target, text),
             Links::TurnedFolder => {
                 let version = format!("versions/{step}");
                 std::fs::create_dir(root.join(&version)).unwrap();
@@ -534,7 +534,7 @@
         Links::File,
         Links::TurnedFolder,
         Links::FileOfFolder,
-        Links::FolderOverLinks,
+        Links::ChainToFolder,
     ] {
         let data_nodes = DataNodes::new(|_, _, _| Behavior::Serve);
         let servers: Vec<(usize, SocketAddr)> = (0..5)
@@ -569,3 +569,85 @@
         std::fs::remove_dir_all(&root).unwrap();
     }
 }
+
+/// Guards against a list that comes into force while it is being written over the old one, and then bars the finished list:
+/// with the generation of the new list, or with digits of both generations.
+#[test]
+fn a_list_that_is_overwritten_in_place_is_in_force_once_it_is_finished() {
+    let generation_digit = "generation = 2".len();
+    for (cut, pause) in [
+        (Cut::Middle, 20),
+        (Cut::Middle, 400),
+        (Cut::Middle, 1_500),
+        (Cut::At(generation_digit), 40),
+        (Cut::At(generation_digit), 400),
+        (Cut::BeforeEnd(12), 400),
+        (Cut::Pieces(10), 30),
+    ] {
+        let data_nodes = DataNodes::new(|_, _, _| Behavior::Serve);
+        let servers: Vec<(usize, SocketAddr)> = (0..6)
+            .map(|number| (number, start_frame_node(number, data_nodes.clone())))
+            .collect();
+        let old = roster(19, &[servers[0], servers[1], servers[2], servers[3]]);
+        let new = roster(20, &[servers[4], servers[1], servers[2], servers[5]]);
+        assert_eq!(old.len(), new.len());
+        let coordinator = start(&data_nodes, &[("servers.d/servers.toml", &old)]);
+        coordinator.wait_for_log_line("endpoint list in force generation=19");
+        let path = coordinator.folder.join("servers.d/servers.toml");
+        overwrite(&path, new.as_bytes(), cut, Duration::from_millis(pause));
+        thread::sleep(IN_FORCE_WITHIN);
+        data_nodes.received.lock().unwrap().clear();
+        for number in 0..24 {
+            let id = format!("after{number}");
+            let answer =
+                coordinator.post_api(&id, "stock-search", "2.0", &[number % SHARDS], "~1~");
+            assert_eq!(answer.status, 200, "{cut:?}, {pause} ms");
+        }
+        let received = data_nodes.received.lock().unwrap();
+        let used: BTreeSet<usize> = received.iter().map(|part| part.server).collect();
+        let removed: Vec<&usize> = used
+            .iter()
+            .filter(|&&server| server == 0 || server == 3)
+            .collect();
+        assert!(
+            removed.is_empty(),
+            "{cut:?}, {pause} ms: parts at removed servers {removed:?}"
+        );
+    }
+}
+
+/// Where a writer pauses.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    Middle,
+    At(usize),
+    /// This many bytes before the end.
+    BeforeEnd(usize),
+    /// After each of so many pieces.
+    Pieces(usize),
+}
+
+/// Writes a text over a file of the same length, without truncating it.
+fn overwrite(path: &Path, text: &[u8], cut: Cut, pause: Duration) {
+    use std::io::Write;
+    let piece = match cut {
+        Cut::Middle => text.len() / 2,
+        Cut::At(offset) => offset,
+        Cut::BeforeEnd(bytes) => text.len() - bytes,
+        Cut::Pieces(pieces) => text.len().div_ceil(pieces),
+    };
+    let mut file = std::fs::OpenOptions::new().write(true).open(path).unwrap();
+    let (mut first, mut rest) = text.split_at(piece);
+    loop {
+        file.write_all(first).unwrap();
+        if rest.is_empty() {
+            return;
+        }
+        thread::sleep(pause);
+        let length = match cut {
+            Cut::Pieces(_) => piece.min(rest.len()),
+            _ => rest.len(),
+        };
+        (first, rest) = rest.split_at(length);
+    }
+}
--- a/crates/endpoint-files/src/debounce.rs
+++ b/crates/endpoint-files/src/debounce.rs
@@ -11,6 +11,9 @@
 pub const RESCAN_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay until rejected or unreadable files are read again, in case they were read in the middle of a write.
 pub const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which files have to stay the same, over two reads, before they come into force. Files that are written in place
+/// may be valid before they are complete.
+pub const STABLE_TIME: Duration = Duration::from_millis(50);
 /// Number of such retries before the next regular rescan.
 const MAX_RETRIES: u32 = 4;
 
@@ -19,6 +22,8 @@
 pub enum ReadOutcome {
     /// The files hold the set in force, which this read or an earlier one applied.
     Applied,
+    /// The files are usable, but were not the same for [`STABLE_TIME`] yet.
+    Unstable,
     /// The files were rejected, unreadable, or changed during the read.
     Unusable,
 }
@@ -28,6 +33,8 @@
 enum State {
     /// The files hold the set in force.
     Settled,
+    /// The files have to be read again to see whether they stay the same.
+    Unstable,
     /// The files were not usable in this many reads since the last change.
     Unusable { reads: u32 },
     /// The files changed since the last read.
@@ -58,7 +65,7 @@
     pub fn on_change(&mut self, now: Duration) {
         let first_at = match self.state {
             State::Changed { first_at, .. } => first_at,
-            State::Settled | State::Unusable { .. } => now,
+            State::Settled | State::Unstable | State::Unusable { .. } => now,
         };
         self.state = State::Changed {
             first_at,
@@ -73,6 +80,7 @@
             State::Changed { first_at, last_at } => (last_at + QUIET_PERIOD)
                 .min(first_at + MAX_DELAY)
                 .min(rescan_at),
+            State::Unstable => self.last_read_at + STABLE_TIME,
             State::Unusable { reads } if reads <= MAX_RETRIES => self.last_read_at + RETRY_INTERVAL,
             State::Unusable { .. } | State::Settled => rescan_at,
         }
@@ -82,11 +90,12 @@
     pub fn on_read(&mut self, now: Duration, outcome: ReadOutcome) {
         let failed_reads = match self.state {
             State::Unusable { reads } => reads,
-            State::Settled | State::Changed { .. } => 0,
+            State::Settled | State::Unstable | State::Changed { .. } => 0,
         };
         self.last_read_at = now;
         self.state = match outcome {
             ReadOutcome::Applied => State::Settled,
+            ReadOutcome::Unstable => State::Unstable,
             ReadOutcome::Unusable => State::Unusable {
                 reads: failed_reads.saturating_add(1),
             },
--- a/crates/endpoint-files/src/debounce/tests.rs
+++ b/crates/endpoint-files/src/debounce/tests.rs
@@ -1,4 +1,4 @@
-use super::{Debounce, ReadOutcome, MAX_RETRIES, RESCAN_INTERVAL};
+use super::{Debounce, ReadOutcome, MAX_RETRIES, RESCAN_INTERVAL, STABLE_TIME};
 use std::time::Duration;
 
 fn ms(milliseconds: u64) -> Duration {
@@ -31,3 +31,17 @@
     debounce.on_read(now + ms(30), ReadOutcome::Applied);
     assert!(debounce.next_read_at() - now > ms(1000));
 }
+
+/// Guards against usable files that are read again only at the rescan, however often they have changed meanwhile.
+#[test]
+fn usable_files_are_read_again_after_the_stable_time() {
+    let mut debounce = Debounce::new(ms(0));
+    debounce.on_change(ms(500));
+    for read in 0..10 {
+        let now = ms(530) + read * STABLE_TIME;
+        debounce.on_read(now, ReadOutcome::Unstable);
+        assert_eq!(debounce.next_read_at(), now + STABLE_TIME);
+    }
+    debounce.on_read(ms(1_100), ReadOutcome::Applied);
+    assert_eq!(debounce.next_read_at(), ms(1_100) + RESCAN_INTERVAL);
+}
--- a/crates/endpoint-files/src/validation.rs
+++ b/crates/endpoint-files/src/validation.rs
@@ -67,8 +67,8 @@
     }))
 }
 
-/// Decides whether `new` may replace `in_force`. `max_removed_share` is the share of active endpoints, 0 to 1, that may
-/// be removed at once.
+/// Decides whether `new`, whose generation is to be higher, may replace `in_force`. `max_removed_share` is the share of
+/// active endpoints, 0 to 1, that may be removed at once.
 pub fn decide_update(
     in_force: Option<&EndpointSet>,
     new: &EndpointSet,
@@ -84,6 +84,28 @@
             .or_else(|| find_shrink_fault(old, new, max_removed_share));
         faults.extend(cause.map(Fault::of_list));
     }
+    decision(faults)
+}
+
+/// Decides whether `new` may replace a set that was read from the same files while they were being written: its
+/// generation means nothing, since it may consist of digits of two lists. `before` is the set that was in force before;
+/// the shares of removed endpoints are those from it to `new`.
+pub fn decide_correction(
+    before: Option<&EndpointSet>,
+    new: &EndpointSet,
+    layout: &ShardLayout,
+    max_removed_share: f64,
+) -> UpdateDecision {
+    match before {
+        // The files hold the earlier list again.
+        Some(before) if before.generation == new.generation && new.has_same_endpoints(before) => {
+            UpdateDecision::Apply
+        }
+        _ => decide_update(before, new, layout, max_removed_share),
+    }
+}
+
+fn decision(faults: Vec<Fault>) -> UpdateDecision {
     if faults.is_empty() {
         UpdateDecision::Apply
     } else {
--- a/crates/endpoint-files/src/validation/tests.rs
+++ b/crates/endpoint-files/src/validation/tests.rs
@@ -1,4 +1,4 @@
-use super::{decide_update, UpdateDecision, DEFAULT_MAX_REMOVED_SHARE};
+use super::{decide_correction, decide_update, UpdateDecision, DEFAULT_MAX_REMOVED_SHARE};
 use crate::endpoint_set::{Endpoint, EndpointSet, Phase};
 use crate::shard_layout::ShardLayout;
 
@@ -153,3 +153,28 @@
         "endpoints are replaced one for one"
     );
 }
+
+/// Guards against a list that was read half-written and bars the finished one: its generation, which may be the new one or
+/// made of digits of both, does not count, and neither do the endpoints that it removed.
+#[test]
+fn a_list_that_was_read_half_written_is_corrected_from_the_one_before() {
+    let before = endpoint_set(19, &[("a", 0, 1.0), ("b", 1, 1.0), ("c", 1, 1.0)]);
+    let finished = endpoint_set(20, &[("a", 0, 1.0), ("b", 1, 1.0), ("d", 1, 1.0)]);
+    let decide = |before: Option<&EndpointSet>, new: &EndpointSet| {
+        decide_correction(before, new, &LAYOUT, DEFAULT_MAX_REMOVED_SHARE)
+    };
+    assert_eq!(decide(Some(&before), &finished), UpdateDecision::Apply);
+    assert_eq!(decide(Some(&before), &before), UpdateDecision::Apply);
+    assert_eq!(decide(None, &finished), UpdateDecision::Apply);
+    let mut reused = finished.clone();
+    reused.generation = 19;
+    assert!(matches!(
+        decide(Some(&before), &reused),
+        UpdateDecision::Reject(_)
+    ));
+    let unserved = endpoint_set(20, &[("a", 0, 1.0)]);
+    assert!(matches!(
+        decide(Some(&before), &unserved),
+        UpdateDecision::Reject(_)
+    ));
+}
