Name in the metrics line what was shed, and split the tracking of client connections

Change: request_metrics has shed_for_slots and shed_for_memory, left out while 0. The slot of a connection and the gauge have modules of their own (client_connections/slot.rs, gauge.rs). tests/common/process_memory.rs reads the memory for all tests; foreign_bytes rounds it up now, as the others do, which is stricter. No behavior changes otherwise.

--- a/crates/coordinator/src/fronts/client_connections.rs
+++ b/crates/coordinator/src/fronts/client_connections.rs
@@ -4,38 +4,30 @@
 //! has been idle for longest is evicted, so that idle clients don't keep active clients out. If there is none, or if
 //! memory is needed, a connection is shed whose request has been incomplete for longest (see [`receiving`]).
 
+mod gauge;
 mod receiving;
+mod slot;
 
 use super::local_reply_throttle::LocalReplyThrottle;
-use crate::clock::Clock;
 use crate::connections::discard::DiscardLimiter;
 use crate::memory::{MemoryPool, MemoryReservation};
+use crate::observability::shed_counts::ShedCounts;
 use cairnroad_admin::shutdown::ShutdownObservation;
 use cairnroad_types::{Seconds, Time};
+use gauge::Gauge;
 use receiving::ReceivingConnections;
+pub use slot::ClientConnection;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::Notify;
 
-/// Minimum idle time before a connection that has sent no request may be evicted. Its first request may be in transit,
-/// and a client counts that request as failed if the connection closes.
-const MIN_IDLE_BEFORE_FIRST_REQUEST: Seconds = 0.25;
-/// The same minimum after a request was received. Clients repeat a later request on a new connection, and under load a
-/// client soon reuses its connection.
-const MIN_IDLE_AFTER_REQUEST: Seconds = 0.05;
-
-/// The same minimum for a lingering connection. Bytes that cross its close arrive by then.
-const MIN_LINGER: Seconds = 0.05;
 /// Memory in bytes that each connection may use without a reservation. It suffices for a request of usual size, so that
 /// such a request is received even if large ones occupy all memory for buffers.
 const UNRESERVED_MEMORY: usize = 8 * 1024;
 /// Share of the memory for clients' buffers that may be reserved when a large request is submitted; the rest is left for
 /// requests that are being received.
 const SUBMIT_SHARE: f64 = 0.75;
-/// Interval at which a connection that waits for memory tries again, unless memory is released before.
-const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which connections are searched again for one to shed if none could be shed for memory, in seconds. Hundreds
 /// of connections may wait for memory.
 const SHED_RETRY_DELAY: Seconds = 0.01;
@@ -64,30 +56,6 @@
     eviction: Rc<Notify>,
 }
 
-/// A counter whose units are held by guards, so that no unit is left over when its holder is dropped.
-#[derive(Clone, Default)]
-struct Gauge(Rc<Cell<usize>>);
-
-impl Gauge {
-    fn get(&self) -> usize {
-        self.0.get()
-    }
-
-    fn acquire(&self) -> GaugeGuard {
-        self.0.set(self.0.get() + 1);
-        GaugeGuard(self.0.clone())
-    }
-}
-
-/// One unit of a [`Gauge`], released on drop.
-struct GaugeGuard(Rc<Cell<usize>>);
-
-impl Drop for GaugeGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// The client connections of all fronts.
 #[derive(Default)]
 pub struct ClientConnections {
@@ -114,6 +82,8 @@
     receiving: RefCell<ReceivingConnections>,
     /// The memory for the buffers of all connections.
     memory: MemoryPool,
+    /// Counts of the connections that were shed.
+    shed_counts: ShedCounts,
     /// When no connection could be shed for memory the last time.
     memory_search_failed_at: Cell<Time>,
 }
@@ -121,9 +91,10 @@
 impl ClientConnections {
     /// Creates the state without connections. Their buffers may occupy `memory` bytes beside what each connection holds
     /// in any case.
-    pub fn new(memory: usize) -> Self {
+    pub fn new(memory: usize, shed_counts: ShedCounts) -> Self {
         ClientConnections {
             memory: MemoryPool::new(memory),
+            shed_counts,
             ..ClientConnections::default()
         }
     }
@@ -131,17 +102,7 @@
     /// Takes a slot for an accepted connection. Dropping the returned value releases the slot.
     pub fn register(self: &Rc<Self>) -> ClientConnection {
         let id = self.next_id.replace(self.next_id.get() + 1);
-        ClientConnection {
-            _open: self.open.acquire(),
-            in_flight: RefCell::default(),
-            lingering: RefCell::default(),
-            id,
-            idle_since: Cell::new(None),
-            received_request: Cell::new(false),
-            eviction: Rc::default(),
-            memory: Rc::new(self.memory.empty_reservation()),
-            connections: self.clone(),
-        }
+        ClientConnection::new(self.clone(), id)
     }
 
     /// Returns the number of open connections in any state.
@@ -209,6 +170,10 @@
         let Some(shed) = self.receiving.borrow_mut().shed(now, pressure) else {
             return false;
         };
+        match pressure {
+            Pressure::Slots => self.shed_counts.count_for_slot(),
+            Pressure::Memory => self.shed_counts.count_for_memory(),
+        }
         tracing::warn!(
             ?pressure,
             open = self.open.get(),
@@ -238,136 +203,5 @@
     }
 }
 
-/// The slot of one connection. Dropping it removes the connection from all counts.
-pub struct ClientConnection {
-    _open: GaugeGuard,
-    /// Held while an answer is pending, from the receipt of a request until its answer or rejection is written.
-    in_flight: RefCell<Option<GaugeGuard>>,
-    /// Held once the connection is half-closed.
-    lingering: RefCell<Option<GaugeGuard>>,
-    id: u64,
-    idle_since: Cell<Option<Time>>,
-    received_request: Cell<bool>,
-    /// Notified once the connection is evicted or shed.
-    eviction: Rc<Notify>,
-    /// The memory of the connection's buffers.
-    memory: Rc<MemoryReservation>,
-    connections: Rc<ClientConnections>,
-}
-
-impl ClientConnection {
-    /// Marks the connection as idle since `now`, unless it already is idle. An idle connection may be evicted.
-    pub fn mark_idle(&self, now: Time) {
-        if self.idle_since.get().is_some() {
-            return;
-        }
-        self.connections.receiving.borrow_mut().remove(self.id);
-        self.idle_since.set(Some(now));
-        let key = IdleKey {
-            idle_since: now,
-            id: self.id,
-        };
-        let idle = IdleConnection {
-            min_idle: self.min_idle(),
-            eviction: self.eviction.clone(),
-        };
-        self.connections.idle.borrow_mut().insert(key, idle);
-    }
-
-    /// Returns the idle time before which the connection is not evicted.
-    fn min_idle(&self) -> Seconds {
-        if self.lingering.borrow().is_some() {
-            MIN_LINGER
-        } else if self.received_request.get() {
-            MIN_IDLE_AFTER_REQUEST
-        } else {
-            MIN_IDLE_BEFORE_FIRST_REQUEST
-        }
-    }
-
-    /// Records that bytes of an incomplete request were received. The connection may be shed.
-    pub fn mark_receiving(&self, now: Time) {
-        self.leave_idle();
-        self.connections.receiving.borrow_mut().on_progress(
-            self.id,
-            now,
-            &self.eviction,
-            &self.memory,
-        );
-    }
-
-    /// Reserves memory for the connection's buffers, which occupy `size` bytes. Returns whether there was enough.
-    pub fn try_reserve(&self, size: usize) -> bool {
-        self.memory.resize(size.saturating_sub(UNRESERVED_MEMORY))
-    }
-
-    /// Does the same, and sheds other connections until there is enough memory. This may be the connection itself, and
-    /// the wait has no limit of its own.
-    pub async fn reserve(&self, size: usize, clock: &Clock) {
-        while !self.try_reserve(size) {
-            self.connections.shed_for_memory(clock.now());
-            let released = self.connections.memory.released();
-            let _ = tokio::time::timeout(MEMORY_POLL_INTERVAL, released).await;
-        }
-    }
-
-    /// Marks the connection as busy. A busy connection is neither evicted nor shed.
-    pub fn mark_busy(&self) {
-        self.leave_idle();
-        self.connections.receiving.borrow_mut().remove(self.id);
-    }
-
-    fn leave_idle(&self) {
-        if let Some(idle_since) = self.idle_since.take() {
-            let key = IdleKey {
-                idle_since,
-                id: self.id,
-            };
-            self.connections.idle.borrow_mut().remove(&key);
-        }
-    }
-
-    /// Records that a complete request was received.
-    pub fn request_received(&self, now: Time) {
-        self.received_request.set(true);
-        self.mark_busy();
-        self.connections.last_request_at.set(now);
-        self.mark_answer_pending();
-    }
-
-    /// Records that an answer is pending, which may be the rejection of a partially received request.
-    pub fn mark_answer_pending(&self) {
-        self.in_flight
-            .borrow_mut()
-            .get_or_insert_with(|| self.connections.in_flight.acquire());
-    }
-
-    /// Records that the answer was written.
-    pub fn answer_sent(&self, now: Time) {
-        self.connections.last_answer_at.set(now);
-        self.in_flight.take();
-    }
-
-    /// Records that the connection was half-closed. It then counts as idle, so that it may be evicted.
-    pub fn begin_linger(&self, now: Time) {
-        self.mark_busy();
-        self.lingering
-            .borrow_mut()
-            .get_or_insert_with(|| self.connections.lingering.acquire());
-        self.mark_idle(now);
-    }
-
-    /// Waits until the connection is evicted and should be closed.
-    pub async fn wait_for_eviction(&self) {
-        self.eviction.notified().await;
-    }
-}
-
-impl Drop for ClientConnection {
-    fn drop(&mut self) {
-        self.mark_busy();
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/coordinator/src/observability/metrics.rs
+++ b/crates/coordinator/src/observability/metrics.rs
@@ -56,10 +56,14 @@
     EndpointSnapshots,
     /// Deltas of the endpoint list that have entries.
     EndpointDeltas,
+    /// Client connections that were shed because a new connection needed a slot.
+    ShedForSlots,
+    /// Client connections that were shed because a request needed memory.
+    ShedForMemory,
 }
 
 /// Number of counters.
-const COUNTERS: usize = Counter::EndpointDeltas as usize + 1;
+const COUNTERS: usize = Counter::ShedForMemory as usize + 1;
 
 /// The counters since the last metrics line.
 pub struct Metrics {
@@ -95,8 +99,13 @@
 
     /// Adds one to a counter.
     pub fn increment(&mut self, counter: Counter) {
+        self.add(counter, 1);
+    }
+
+    /// Adds a number to a counter.
+    pub fn add(&mut self, counter: Counter, number: u32) {
         let count = &mut self.counts[counter as usize];
-        *count = count.saturating_add(1);
+        *count = count.saturating_add(number);
     }
 
     /// Counts an action of the router.
@@ -181,6 +190,8 @@
             resets = self.nonzero(Counter::Resets),
             endpoint_snapshots = self.nonzero(Counter::EndpointSnapshots),
             endpoint_deltas = self.nonzero(Counter::EndpointDeltas),
+            shed_for_slots = self.nonzero(Counter::ShedForSlots),
+            shed_for_memory = self.nonzero(Counter::ShedForMemory),
             connections = self.connections,
             ready = self.health.ready,
             outliers = self.health.outliers,
--- a/crates/coordinator/src/observability/metrics/tests.rs
+++ b/crates/coordinator/src/observability/metrics/tests.rs
@@ -40,6 +40,7 @@
     metrics.increment(Counter::Dials);
     metrics.record_outcome(Outcome::Reset);
     metrics.record_outcome(Outcome::Reset);
+    metrics.add(Counter::ShedForMemory, 3);
     let health = || HealthSummary {
         ready: 3,
         outliers: 1,
@@ -52,7 +53,7 @@
     let snapshot = metrics.take_due(start + 5.0, 2, health).unwrap();
     assert_eq!(
         log_line(&snapshot),
-        "request_metrics dials=1 resets=2 connections=2 ready=3 outliers=1 overdue=0 warming_up=0 typical_latency_ms=[]\n"
+        "request_metrics dials=1 resets=2 shed_for_memory=3 connections=2 ready=3 outliers=1 overdue=0 warming_up=0 typical_latency_ms=[]\n"
     );
     assert!(
         metrics.take_due(start + 20.0, 2, health).is_none(),
--- a/crates/coordinator/src/observability/mod.rs
+++ b/crates/coordinator/src/observability/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod log;
 pub mod metrics;
+pub mod shed_counts;
--- a/crates/coordinator/src/pipeline/core.rs
+++ b/crates/coordinator/src/pipeline/core.rs
@@ -25,7 +25,8 @@
     AttemptId, AttemptResult, ClientRequest, CoreMessage, LocalOutliers, ServedConfiguration,
     ServingPhase,
 };
-use crate::observability::metrics::Metrics;
+use crate::observability::metrics::{Counter, Metrics};
+use crate::observability::shed_counts::ShedCounts;
 use crate::timer_wheel::TimerWheel;
 use cairnroad_admin::suspensions::Suspensions;
 use cairnroad_types::{Action, Event, Seconds, Time};
@@ -61,6 +62,8 @@
     /// The persistent store of suspensions; `None` without an admin API.
     suspension_store: Option<SuspensionStore>,
     metrics: Metrics,
+    /// Counts of the client connections that the fronts shed.
+    shed_counts: ShedCounts,
     started_at: Time,
     /// Whether discovery has delivered an endpoint list since the process started.
     has_fresh_list: bool,
@@ -80,6 +83,8 @@
     pub phase: Rc<watch::Sender<ServingPhase>>,
     /// The active configuration, read by the fronts.
     pub served_configuration: watch::Sender<Arc<ServedConfiguration>>,
+    /// Counts of the client connections that the fronts shed, for the metrics line.
+    pub shed_counts: ShedCounts,
 }
 
 impl Core {
@@ -114,6 +119,7 @@
             suspensions: Suspensions::default(),
             suspension_store,
             metrics: Metrics::new(f64::from(config.log.metrics_interval_s), now),
+            shed_counts: channels.shed_counts,
             started_at: now,
             has_fresh_list: false,
             slow_start_duration: deployment.policy.slow_start_duration,
@@ -262,6 +268,9 @@
     }
 
     fn log_metrics(&mut self, now: Time) {
+        let shed = self.shed_counts.take();
+        self.metrics.add(Counter::ShedForSlots, shed.for_slots);
+        self.metrics.add(Counter::ShedForMemory, shed.for_memory);
         let connections = self.pool.connection_count();
         let router = &self.router;
         let due = self
--- a/crates/coordinator/src/pipeline/core/tests.rs
+++ b/crates/coordinator/src/pipeline/core/tests.rs
@@ -39,6 +39,7 @@
                 message_sender: messages.clone(),
                 phase,
                 served_configuration,
+                shed_counts: ShedCounts::default(),
             },
         );
         test(CoreHarness {
--- a/crates/coordinator/src/server/context.rs
+++ b/crates/coordinator/src/server/context.rs
@@ -5,6 +5,7 @@
 use crate::contract::Contracts;
 use crate::fronts::client_connections::ClientConnections;
 use crate::messages::{ClientRequest, CoreMessage, ServedConfiguration, ServingPhase};
+use crate::observability::shed_counts::ShedCounts;
 use crate::pipeline::request_queue::REQUEST_QUEUE_CAPACITY;
 use crate::pipeline::CoreChannels;
 use std::rc::Rc;
@@ -41,12 +42,15 @@
         let (message_sender, messages) = mpsc::channel(MESSAGE_QUEUE_CAPACITY);
         let (served_sender, served_configuration) = watch::channel(config.served.clone());
         let phase = Rc::new(watch::Sender::new(ServingPhase::Starting));
+        let shed_counts = ShedCounts::default();
+        let client_memory = config.limits.buffers.clients;
         let core = CoreChannels {
             requests,
             messages,
             message_sender: message_sender.clone(),
             phase: phase.clone(),
             served_configuration: served_sender,
+            shed_counts: shed_counts.clone(),
         };
         let context = Context {
             clock,
@@ -56,7 +60,7 @@
             phase,
             listeners_closed: watch::Sender::new(false),
             served_configuration,
-            connections: Rc::new(ClientConnections::new(config.limits.buffers.clients)),
+            connections: Rc::new(ClientConnections::new(client_memory, shed_counts)),
         };
         (context, core)
     }
--- a/crates/coordinator/tests/client_memory.rs
+++ b/crates/coordinator/tests/client_memory.rs
@@ -105,15 +105,6 @@
     })
 }
 
-/// Returns the most memory that the process has had, in MB, rounded up.
-fn peak_memory_mb(coordinator: &TestCoordinator) -> u64 {
-    let path = format!("/proc/{}/status", coordinator.child.id());
-    let status = std::fs::read_to_string(path).unwrap();
-    let peak = status.lines().find(|line| line.starts_with("VmHWM:"));
-    let kilobytes = peak.unwrap().split_whitespace().nth(1).unwrap();
-    kilobytes.parse::<u64>().unwrap().div_ceil(1024)
-}
-
 /// Plays a crowd of twice as many clients as there are slots, beside usual clients, and checks what each is owed.
 fn check_crowd(resources: Resources, door: WireFormat, stop: Stop) {
     let coordinator = start(resources);
--- a/crates/coordinator/tests/common/mod.rs
+++ b/crates/coordinator/tests/common/mod.rs
@@ -15,6 +15,7 @@
 mod discovery;
 mod frame_node;
 mod http_message;
+mod process_memory;
 pub mod scripted_discovery;
 mod search_node;
 mod unaccepting_node;
@@ -30,6 +31,7 @@
 pub use discovery::FakeDiscovery;
 pub use frame_node::start_frame_node;
 pub use http_message::{read_exact, read_message};
+pub use process_memory::{peak_memory_mb, resident_memory_mb};
 pub use search_node::start_search_node;
 pub use unaccepting_node::UnacceptingNode;
 pub use waiting::wait_for;
--- a/crates/coordinator/tests/foreign_bytes.rs
+++ b/crates/coordinator/tests/foreign_bytes.rs
@@ -95,18 +95,6 @@
     answered.join().unwrap()
 }
 
-/// Returns the most memory that the process has had, in MB.
-fn peak_memory_mb(coordinator: &TestCoordinator) -> u64 {
-    let status =
-        std::fs::read_to_string(format!("/proc/{}/status", coordinator.child.id())).unwrap();
-    let line = status
-        .lines()
-        .find(|line| line.starts_with("VmHWM:"))
-        .unwrap();
-    let kilobytes: u64 = line.split_whitespace().nth(1).unwrap().parse().unwrap();
-    kilobytes / 1024
-}
-
 /// Plays a flood at one door beside usual clients and checks what each of them is owed.
 fn check_flood(coordinator: &TestCoordinator, door: &str, address: SocketAddr, number: usize) {
     let flood = FLOODS[number];
--- a/crates/coordinator/tests/request_floods.rs
+++ b/crates/coordinator/tests/request_floods.rs
@@ -104,19 +104,6 @@
     }
 }
 
-/// Returns the resident size of the process, in KB.
-fn resident_kb(coordinator: &TestCoordinator) -> u64 {
-    let path = format!("/proc/{}/status", coordinator.child.id());
-    let status = std::fs::read_to_string(path).unwrap();
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    line.unwrap()
-        .split_whitespace()
-        .nth(1)
-        .unwrap()
-        .parse()
-        .unwrap()
-}
-
 /// Plays a flood from several connections beside usual clients.
 fn check_flood(flood: Flood, connections: usize) {
     let data_nodes = DataNodes::new(|_, _, _| Behavior::Serve);
@@ -149,7 +136,7 @@
         served += 1;
         thread::sleep(Duration::from_millis(20));
     }
-    let memory = resident_kb(&coordinator) / 1024;
+    let memory = resident_memory_mb(&coordinator);
     ended.store(true, Ordering::Relaxed);
     drop(coordinator);
     clients
